--- /dev/null
+++ b/crates/mustardtiller-config/src/artefact/build.rs
@@ -0,0 +1,156 @@
+//! The artefact of a checked set.
+
+use std::collections::BTreeMap;
+
+use mustardtiller_core::Digest;
+use mustardtiller_core::Weigh;
+use serde::Serialize;
+
+use super::parts::CallerEntry;
+use super::parts::FORMAT;
+use super::parts::FleetPart;
+use super::parts::KindEntry;
+use super::parts::Manifest;
+use super::parts::ManifestService;
+use super::parts::PathEntry;
+use super::parts::PlaceEntry;
+use super::parts::ServicePart;
+use super::parts::TokenEntry;
+use super::parts::UpstreamEntry;
+use crate::Artefact;
+use crate::ArtefactError;
+use crate::ArtefactErrorKind;
+use crate::Fleet;
+use crate::Kind;
+use crate::MAX_VALUE_BYTES;
+use crate::ObjectSet;
+use crate::Service;
+use crate::TokenRule;
+use crate::Upstream;
+use crate::digest_of;
+
+/// Build the artefact of a checked set.
+///
+/// # Errors
+///
+/// Returns an error if a value would be larger than the platform holds.
+pub fn build(set: &ObjectSet) -> Result<Artefact, ArtefactError> {
+    let mut parts = BTreeMap::new();
+    let fleet = add_part(&mut parts, "fleet", &fleet_part(&set.fleet))?;
+    let mut services = Vec::with_capacity(set.services.len());
+    for service in &set.services {
+        let part = service_part(service);
+        let digest = add_part(&mut parts, service.name.as_str(), &part)?.0;
+        services.push(ManifestService {
+            name: part.name,
+            hosts: part.hosts,
+            digest,
+        });
+    }
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    let manifest = Manifest {
+        format: FORMAT,
+        revision: set.fleet.revision,
+        fleet: fleet.0,
+        services,
+    };
+    let bytes = encode("manifest", &manifest)?;
+    Ok(Artefact {
+        manifest,
+        manifest_bytes: bytes,
+        parts,
+    })
+}
+
+fn add_part<T: Serialize>(
+    parts: &mut BTreeMap<Digest, Vec<u8>>,
+    name: &str,
+    part: &T,
+) -> Result<Digest, ArtefactError> {
+    let bytes = encode(name, part)?;
+    let digest = digest_of(&bytes);
+    parts.insert(digest, bytes);
+    Ok(digest)
+}
+
+fn encode<T: Serialize>(name: &str, value: &T) -> Result<Vec<u8>, ArtefactError> {
+    let bytes = postcard::to_allocvec(value)
+        .map_err(|e| ArtefactError::new(ArtefactErrorKind::Damaged, format!("{name}: {e}")))?;
+    if bytes.len() > MAX_VALUE_BYTES {
+        let context = format!("{name} has {} bytes of {MAX_VALUE_BYTES}", bytes.len());
+        return Err(ArtefactError::new(ArtefactErrorKind::TooLarge, context));
+    }
+    Ok(bytes)
+}
+
+fn fleet_part(fleet: &Fleet) -> FleetPart {
+    let places = fleet.places.iter().map(|place| PlaceEntry {
+        name: place.name.to_string(),
+        region: place.region.to_string(),
+    });
+    let paths = fleet.paths.iter().map(|path| PathEntry {
+        name: path.name.to_string(),
+        from: path.from.to_string(),
+        to: path.to.to_string(),
+        delay_micros: path.delay_micros,
+        price_micros: path.price_micros,
+    });
+    let callers = fleet.callers.iter().map(|caller| CallerEntry {
+        name: caller.name.to_string(),
+        share: caller.share,
+    });
+    FleetPart {
+        places: places.collect(),
+        paths: paths.collect(),
+        callers: callers.collect(),
+    }
+}
+
+fn service_part(service: &Service) -> ServicePart {
+    ServicePart {
+        name: service.name.to_string(),
+        hosts: service.hosts.iter().map(ToString::to_string).collect(),
+        weigh_cost: service.weigh == Weigh::Cost,
+        measure_milli_per_second: service.measure_milli_per_second,
+        retry_percent: service.retry_percent,
+        subset: service.subset,
+        eject_percent: service.eject_percent,
+        kinds: service.kinds.iter().map(|kind| kind_entry(kind)).collect(),
+        upstreams: service
+            .upstreams
+            .iter()
+            .map(|u| upstream_entry(u))
+            .collect(),
+    }
+}
+
+fn kind_entry(kind: &Kind) -> KindEntry {
+    KindEntry {
+        name: kind.name.to_string(),
+        methods: kind.methods.iter().map(ToString::to_string).collect(),
+        path: kind.path.to_string(),
+        idempotent: kind.idempotent,
+        upload: kind.upload,
+        urgent: kind.urgent,
+        deadline_ms: kind.deadline_ms,
+        attempts: kind.attempts,
+        hedge_percent: kind.hedge_percent,
+        weigh_cost: kind.weigh == Weigh::Cost,
+        token: match kind.token {
+            TokenRule::Ignored => TokenEntry::Ignored,
+            TokenRule::Accepted => TokenEntry::Accepted,
+            TokenRule::Needed => TokenEntry::Needed,
+        },
+    }
+}
+
+fn upstream_entry(upstream: &Upstream) -> UpstreamEntry {
+    UpstreamEntry {
+        name: upstream.name.to_string(),
+        place: upstream.place.to_string(),
+        address: upstream.address,
+        link: upstream.link,
+        slots: upstream.slots,
+        connections: upstream.connections,
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-config/src/artefact/digest.rs
@@ -0,0 +1,17 @@
+//! Content digests.
+
+use mustardtiller_core::Digest;
+use sha2::Digest as _;
+use sha2::Sha256;
+
+/// Bytes of a digest.
+const DIGEST_BYTES: usize = 16;
+
+/// Compute the digest of some bytes.
+#[must_use]
+pub fn digest_of(bytes: &[u8]) -> Digest {
+    let full = Sha256::digest(bytes);
+    let mut digest = [0; DIGEST_BYTES];
+    digest.copy_from_slice(&full[..DIGEST_BYTES]);
+    Digest(digest)
+}
--- /dev/null
+++ b/crates/mustardtiller-config/src/artefact/read.rs
@@ -0,0 +1,286 @@
+//! The artefact as fetched, and its way back into the model.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use mustardtiller_core::Digest;
+use mustardtiller_core::PlaceName;
+use mustardtiller_core::ServiceName;
+use mustardtiller_core::Version;
+use mustardtiller_core::Weigh;
+use serde::de::DeserializeOwned;
+
+use super::parts::FORMAT;
+use super::parts::FleetPart;
+use super::parts::KindEntry;
+use super::parts::Manifest;
+use super::parts::ServicePart;
+use super::parts::TokenEntry;
+use super::parts::UpstreamEntry;
+use crate::ArtefactError;
+use crate::ArtefactErrorKind;
+use crate::Caller;
+use crate::Fleet;
+use crate::Kind;
+use crate::Path;
+use crate::Place;
+use crate::Service;
+use crate::TokenRule;
+use crate::Upstream;
+use crate::digest_of;
+
+/// A manifest and those of its parts that are wanted.
+#[derive(Clone, Debug)]
+pub struct Artefact {
+    /// The decoded manifest.
+    pub manifest: Manifest,
+    /// The manifest as published.
+    pub manifest_bytes: Vec<u8>,
+    /// The parts by digest.
+    pub parts: BTreeMap<Digest, Vec<u8>>,
+}
+
+impl Artefact {
+    /// Decode a published manifest; the parts are added afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are damaged or of another format.
+    pub fn from_manifest(bytes: Vec<u8>) -> Result<Self, ArtefactError> {
+        let manifest: Manifest = decode("manifest", &bytes)?;
+        if manifest.format != FORMAT {
+            let context = format!("manifest has format {}, not {FORMAT}", manifest.format);
+            return Err(ArtefactError::new(ArtefactErrorKind::Format, context));
+        }
+        if manifest.revision == 0 {
+            return Err(inconsistent("manifest has revision 0".to_owned()));
+        }
+        Ok(Self {
+            manifest,
+            manifest_bytes: bytes,
+            parts: BTreeMap::new(),
+        })
+    }
+
+    /// Return the version: the revision and the digest of the manifest.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        Version {
+            revision: self.manifest.revision,
+            digest: digest_of(&self.manifest_bytes),
+        }
+    }
+
+    /// Return the digests that are wanted and not yet there.
+    ///
+    /// `wanted` tells which services this process uses.
+    pub fn missing(&self, wanted: impl Fn(&str) -> bool) -> Vec<Digest> {
+        let services = self.manifest.services.iter();
+        services
+            .filter(|service| wanted(&service.name))
+            .map(|service| Digest(service.digest))
+            .chain([Digest(self.manifest.fleet)])
+            .filter(|digest| !self.parts.contains_key(digest))
+            .collect()
+    }
+
+    /// Add a fetched part.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the content does not match the digest.
+    pub fn add_part(&mut self, digest: Digest, bytes: Vec<u8>) -> Result<(), ArtefactError> {
+        if digest_of(&bytes) != digest {
+            let context = format!("part {digest} has another content");
+            return Err(ArtefactError::new(ArtefactErrorKind::Mismatch, context));
+        }
+        self.parts.insert(digest, bytes);
+        Ok(())
+    }
+
+    pub(crate) fn hosts(&self) -> HashMap<Arc<str>, ServiceName> {
+        let mut hosts = HashMap::new();
+        for service in &self.manifest.services {
+            let name = ServiceName::new(&service.name);
+            for host in &service.hosts {
+                hosts.insert(Arc::from(host.as_str()), name.clone());
+            }
+        }
+        hosts
+    }
+
+    pub(crate) fn fleet(&self) -> Result<Fleet, ArtefactError> {
+        let digest = Digest(self.manifest.fleet);
+        let bytes = self.parts.get(&digest).ok_or_else(|| {
+            ArtefactError::new(ArtefactErrorKind::Missing, "the fleet part is not there")
+        })?;
+        let part: FleetPart = decode("fleet", bytes)?;
+        let fleet = fleet_from(part, self.manifest.revision);
+        check_paths(&fleet)?;
+        Ok(fleet)
+    }
+
+    pub(crate) fn services(&self) -> Result<Vec<Service>, ArtefactError> {
+        let fleet = self.fleet()?;
+        let places: HashSet<&PlaceName> = fleet.places.iter().map(|place| &place.name).collect();
+        let mut services = Vec::new();
+        let mut links = HashSet::new();
+        for listed in &self.manifest.services {
+            let Some(bytes) = self.parts.get(&Digest(listed.digest)) else {
+                continue;
+            };
+            let part: ServicePart = decode(&listed.name, bytes)?;
+            if part.name != listed.name {
+                return Err(inconsistent(format!(
+                    "part {} is of {}",
+                    listed.name, part.name
+                )));
+            }
+            let service = service_from(part);
+            check_service(&service, &places)?;
+            for upstream in &service.upstreams {
+                if !links.insert(upstream.link) {
+                    return Err(inconsistent(format!(
+                        "link {} is given twice",
+                        upstream.link
+                    )));
+                }
+            }
+            services.push(service);
+        }
+        Ok(services)
+    }
+}
+
+fn decode<T: DeserializeOwned>(name: &str, bytes: &[u8]) -> Result<T, ArtefactError> {
+    let damaged = |text: String| ArtefactError::new(ArtefactErrorKind::Damaged, text);
+    match postcard::take_from_bytes(bytes) {
+        Ok((value, [])) => Ok(value),
+        Ok((_, rest)) => Err(damaged(format!("{name}: {} bytes too many", rest.len()))),
+        Err(e) => Err(damaged(format!("{name}: {e}"))),
+    }
+}
+
+fn inconsistent(context: String) -> ArtefactError {
+    ArtefactError::new(ArtefactErrorKind::Inconsistent, context)
+}
+
+fn check_paths(fleet: &Fleet) -> Result<(), ArtefactError> {
+    let known = |name: &PlaceName| fleet.places.iter().any(|place| place.name == *name);
+    match fleet
+        .paths
+        .iter()
+        .find(|path| !known(&path.from) || !known(&path.to))
+    {
+        Some(path) => Err(inconsistent(format!("path {} leads nowhere", path.name))),
+        None => Ok(()),
+    }
+}
+
+fn check_service(service: &Service, places: &HashSet<&PlaceName>) -> Result<(), ArtefactError> {
+    if service.upstreams.is_empty() || service.kinds.is_empty() {
+        return Err(inconsistent(format!("service {} is empty", service.name)));
+    }
+    match service
+        .upstreams
+        .iter()
+        .find(|u| !places.contains(&u.place) || u.slots == 0)
+    {
+        Some(upstream) => Err(inconsistent(format!(
+            "upstream {} has no place or no slots",
+            upstream.name
+        ))),
+        None => Ok(()),
+    }
+}
+
+fn fleet_from(part: FleetPart, revision: u64) -> Fleet {
+    let places = part.places.iter().map(|place| Place {
+        name: place.name.as_str().into(),
+        region: Arc::from(place.region.as_str()),
+    });
+    let paths = part.paths.iter().map(|path| Path {
+        name: Arc::from(path.name.as_str()),
+        from: path.from.as_str().into(),
+        to: path.to.as_str().into(),
+        delay_micros: path.delay_micros,
+        price_micros: path.price_micros,
+    });
+    let callers = part.callers.iter().map(|caller| Caller {
+        name: caller.name.as_str().into(),
+        share: caller.share,
+    });
+    Fleet {
+        revision,
+        places: places.collect(),
+        paths: paths.collect(),
+        callers: callers.collect(),
+    }
+}
+
+fn service_from(part: ServicePart) -> Service {
+    Service {
+        name: part.name.as_str().into(),
+        hosts: part
+            .hosts
+            .iter()
+            .map(|host| Arc::from(host.as_str()))
+            .collect(),
+        weigh: weigh_from(part.weigh_cost),
+        measure_milli_per_second: part.measure_milli_per_second,
+        retry_percent: part.retry_percent,
+        subset: part.subset,
+        eject_percent: part.eject_percent,
+        kinds: part
+            .kinds
+            .iter()
+            .map(|kind| Arc::new(kind_from(kind)))
+            .collect(),
+        upstreams: part
+            .upstreams
+            .iter()
+            .map(|u| Arc::new(upstream_from(u)))
+            .collect(),
+    }
+}
+
+fn kind_from(entry: &KindEntry) -> Kind {
+    Kind {
+        name: entry.name.as_str().into(),
+        methods: entry
+            .methods
+            .iter()
+            .map(|m| Arc::from(m.as_str()))
+            .collect(),
+        path: Arc::from(entry.path.as_str()),
+        idempotent: entry.idempotent,
+        upload: entry.upload,
+        urgent: entry.urgent,
+        deadline_ms: entry.deadline_ms,
+        attempts: entry.attempts,
+        hedge_percent: entry.hedge_percent,
+        weigh: weigh_from(entry.weigh_cost),
+        token: match entry.token {
+            TokenEntry::Ignored => TokenRule::Ignored,
+            TokenEntry::Accepted => TokenRule::Accepted,
+            TokenEntry::Needed => TokenRule::Needed,
+        },
+    }
+}
+
+const fn weigh_from(cost: bool) -> Weigh {
+    if cost { Weigh::Cost } else { Weigh::Latency }
+}
+
+fn upstream_from(entry: &UpstreamEntry) -> Upstream {
+    Upstream {
+        name: entry.name.as_str().into(),
+        place: entry.place.as_str().into(),
+        address: entry.address,
+        link: entry.link,
+        slots: entry.slots,
+        connections: entry.connections,
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-config/src/ini/fields.rs
@@ -0,0 +1,190 @@
+//! Typed access to the keys of a section.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use crate::Fault;
+use crate::Section;
+
+/// Least likeness at which a key is suggested for an unknown one.
+const SUGGESTION_LIKENESS: f64 = 0.7;
+
+/// Longest name of an object, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// Reads the keys of one section and collects what is wrong with them.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    section: &'a Section,
+    known: Vec<&'static str>,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl<'a> Fields<'a> {
+    /// Begin to read `section`.
+    pub const fn new(section: &'a Section, faults: &'a mut Vec<Fault>) -> Self {
+        Self {
+            section,
+            known: Vec::new(),
+            faults,
+        }
+    }
+
+    /// Read a text, or `None` if the key is absent.
+    pub fn text_opt(&mut self, key: &'static str) -> Option<&'a str> {
+        self.known.push(key);
+        let entry = self.section.entries.iter().find(|entry| entry.key == key)?;
+        Some(entry.value.as_str())
+    }
+
+    /// Read a text that must be there.
+    pub fn text(&mut self, key: &'static str, right: &str) -> Option<&'a str> {
+        let text = self.text_opt(key);
+        if text.is_none() {
+            self.add(self.section.line, format!("`{key}` is missing"), right);
+        }
+        text
+    }
+
+    /// Read a name of another object.
+    pub fn name(&mut self, key: &'static str, what: &str) -> Option<String> {
+        let text = self.text(key, &format!("name a {what}"))?;
+        if is_name(text) {
+            return Some(text.to_owned());
+        }
+        let wrong = format!("`{text}` is no name");
+        self.add_at(
+            key,
+            wrong,
+            "use letters, digits, `-`, `_` and `.`, 64 at most",
+        );
+        None
+    }
+
+    /// Read words separated by spaces or commas.
+    pub fn words(&mut self, key: &'static str) -> Vec<String> {
+        self.text_opt(key)
+            .unwrap_or_default()
+            .split([' ', ',', '\t'])
+            .filter(|word| !word.is_empty())
+            .map(str::to_owned)
+            .collect()
+    }
+
+    /// Read a number in `range` that must be there.
+    pub fn number(&mut self, key: &'static str, range: RangeInclusive<u64>) -> Option<u64> {
+        let right = format!("give a number from {} to {}", range.start(), range.end());
+        let text = self.text(key, &right)?;
+        match text.parse() {
+            Ok(number) if range.contains(&number) => Some(number),
+            _ => {
+                self.add_at(key, format!("`{key} = {text}` is out of range"), &right);
+                None
+            }
+        }
+    }
+
+    /// Read a number in `range`, or take `default` if the key is absent.
+    pub fn number_or(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> u64 {
+        if self.text_opt(key).is_none() {
+            return default;
+        }
+        self.known.pop();
+        self.number(key, range).unwrap_or(default)
+    }
+
+    /// Read `yes` or `no`, or take `default` if the key is absent.
+    pub fn flag_or(&mut self, key: &'static str, default: bool) -> bool {
+        self.choice_or(key, default, &[("yes", true), ("no", false)])
+    }
+
+    /// Read one of a closed set of words, or take `default` if the key is absent.
+    pub fn choice_or<T: Copy>(
+        &mut self,
+        key: &'static str,
+        default: T,
+        choices: &[(&str, T)],
+    ) -> T {
+        let Some(text) = self.text_opt(key) else {
+            return default;
+        };
+        if let Some((_, choice)) = choices.iter().find(|(word, _)| *word == text) {
+            return *choice;
+        }
+        let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+        let right = format!("write one of: {}", words.join(", "));
+        self.add_at(key, format!("`{text}` is not known"), &right);
+        default
+    }
+
+    /// Read an IP address and port that must be there.
+    pub fn address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        let right = "give an IP number and a port, such as 127.0.0.1:8080";
+        let text = self.text(key, right)?;
+        self.parse_address(key, text)
+    }
+
+    /// Read an IP address and port, or `None` if the key is absent.
+    pub fn address_opt(&mut self, key: &'static str) -> Option<SocketAddr> {
+        let text = self.text_opt(key)?;
+        self.parse_address(key, text)
+    }
+
+    /// Add a fault at the line of `key`.
+    pub fn add_at(&mut self, key: &str, wrong: impl Into<String>, right: &str) {
+        let line = self.section.line_of(key);
+        self.add(line, wrong, right);
+    }
+
+    /// Report every key that was not asked for, with the nearest known one.
+    pub fn finish(self) {
+        for entry in &self.section.entries {
+            if self.known.contains(&entry.key.as_str()) {
+                continue;
+            }
+            let wrong = format!("`{}` is not a key of this object", entry.key);
+            let right = suggestion(&entry.key, &self.known);
+            self.faults
+                .push(self.section.fault(entry.line, wrong, right));
+        }
+    }
+
+    fn parse_address(&mut self, key: &str, text: &str) -> Option<SocketAddr> {
+        let right = "give an IP number and a port, such as 127.0.0.1:8080";
+        let address: Option<SocketAddr> = text.parse().ok();
+        if address.is_none() {
+            self.add_at(key, format!("`{text}` is no address"), right);
+        }
+        address
+    }
+
+    fn add(&mut self, line: u32, wrong: impl Into<String>, right: &str) {
+        self.faults.push(self.section.fault(line, wrong, right));
+    }
+}
+
+/// Return advice for an unknown word: the likest of `known`, or all of them.
+pub fn suggestion(word: &str, known: &[&str]) -> String {
+    let likest = known
+        .iter()
+        .map(|candidate| (strsim::jaro_winkler(word, candidate), *candidate))
+        .max_by(|a, b| a.0.total_cmp(&b.0));
+    match likest {
+        Some((likeness, candidate)) if likeness >= SUGGESTION_LIKENESS => {
+            format!("did you mean `{candidate}`?")
+        }
+        _ => format!("the known ones are: {}", known.join(", ")),
+    }
+}
+
+/// Report whether `text` may name an object.
+pub fn is_name(text: &str) -> bool {
+    let fits = (1..=MAX_NAME_BYTES).contains(&text.len());
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    fits && text.chars().all(plain)
+}
--- /dev/null
+++ b/crates/mustardtiller-config/src/ini/mod.rs
@@ -0,0 +1,13 @@
+//! INI text with the line of every key, and typed access that collects faults.
+
+mod document;
+mod fault;
+mod fields;
+
+pub use document::Document;
+pub use document::Section;
+pub use document::Source;
+pub use fault::Fault;
+pub use fields::Fields;
+pub use fields::is_name;
+pub use fields::suggestion;
--- /dev/null
+++ b/crates/mustardtiller-config/src/model/configuration.rs
@@ -0,0 +1,113 @@
+//! One accepted configuration.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use mustardtiller_core::CallerName;
+use mustardtiller_core::PlaceName;
+use mustardtiller_core::ServiceName;
+use mustardtiller_core::UpstreamName;
+use mustardtiller_core::Version;
+
+use crate::Artefact;
+use crate::ArtefactError;
+use crate::Caller;
+use crate::Fleet;
+use crate::Path;
+use crate::Service;
+use crate::Upstream;
+
+/// A configuration that was accepted whole.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// Its version.
+    pub version: Version,
+    /// What holds for the fleet.
+    pub fleet: Fleet,
+    services: HashMap<ServiceName, Arc<Service>>,
+    hosts: HashMap<Arc<str>, ServiceName>,
+    callers: HashMap<CallerName, Caller>,
+    paths: HashMap<(PlaceName, PlaceName), Path>,
+}
+
+impl Configuration {
+    /// Check the parts of an artefact and join them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part is missing, damaged or inconsistent; then
+    /// nothing of the artefact is used.
+    pub fn assemble(artefact: &Artefact) -> Result<Self, ArtefactError> {
+        let fleet = artefact.fleet()?;
+        let services = artefact.services()?;
+        let version = artefact.version();
+        Ok(Self::join(version, fleet, services, artefact.hosts()))
+    }
+
+    /// Return a service by name.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// Return the name of the service that answers to an HTTP host.
+    #[must_use]
+    pub fn service_of_host(&self, host: &str) -> Option<&ServiceName> {
+        self.hosts.get(host)
+    }
+
+    /// Return every service held.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// Find an upstream and its service.
+    #[must_use]
+    pub fn upstream(&self, name: &UpstreamName) -> Option<(&Arc<Service>, &Arc<Upstream>)> {
+        self.services
+            .values()
+            .find_map(|service| Some((service, service.upstream(name)?)))
+    }
+
+    /// Return a caller by name.
+    #[must_use]
+    pub fn caller(&self, name: &str) -> Option<&Caller> {
+        self.callers.get(name)
+    }
+
+    /// Return the path between two places.
+    #[must_use]
+    pub fn path(&self, from: &PlaceName, to: &PlaceName) -> Option<&Path> {
+        self.paths.get(&(from.clone(), to.clone()))
+    }
+
+    fn join(
+        version: Version,
+        fleet: Fleet,
+        services: Vec<Service>,
+        hosts: HashMap<Arc<str>, ServiceName>,
+    ) -> Self {
+        let callers = fleet
+            .callers
+            .iter()
+            .map(|c| (c.name.clone(), c.clone()))
+            .collect();
+        let mut paths = HashMap::new();
+        for path in &fleet.paths {
+            paths.insert((path.from.clone(), path.to.clone()), path.clone());
+            paths.insert((path.to.clone(), path.from.clone()), path.clone());
+        }
+        let services = services
+            .into_iter()
+            .map(|service| (service.name.clone(), Arc::new(service)))
+            .collect();
+        Self {
+            version,
+            fleet,
+            services,
+            hosts,
+            callers,
+            paths,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-config/src/model/mod.rs
@@ -0,0 +1,14 @@
+//! The configuration as daemons use it: names interned, references resolved.
+
+mod configuration;
+mod types;
+
+pub use configuration::Configuration;
+pub use types::Caller;
+pub use types::Fleet;
+pub use types::Kind;
+pub use types::Path;
+pub use types::Place;
+pub use types::Service;
+pub use types::TokenRule;
+pub use types::Upstream;
--- /dev/null
+++ b/crates/mustardtiller-config/src/objects/parse.rs
@@ -0,0 +1,201 @@
+//! Objects from sections, one function a kind of object.
+
+use std::sync::Arc;
+
+use mustardtiller_core::Weigh;
+
+use crate::Caller;
+use crate::Fault;
+use crate::Fields;
+use crate::Kind;
+use crate::Path;
+use crate::Place;
+use crate::Section;
+use crate::Service;
+use crate::TokenRule;
+use crate::Upstream;
+
+/// Words for what is weighed more.
+const WEIGH: &[(&str, Weigh)] = &[("latency", Weigh::Latency), ("cost", Weigh::Cost)];
+
+/// Words for how tokens are taken.
+const TOKEN: &[(&str, TokenRule)] = &[
+    ("ignored", TokenRule::Ignored),
+    ("accepted", TokenRule::Accepted),
+    ("needed", TokenRule::Needed),
+];
+
+/// HTTP methods that a kind may name.
+const METHODS: &[&str] = &["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
+/// Longest deadline of a kind, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Longest one-way delay or price of a path, in microseconds.
+const MAX_PATH_MICROS: u64 = 10_000_000;
+
+/// A service and the key by which a kind or an upstream refers to it.
+#[derive(Debug)]
+pub struct Owned<T> {
+    /// The name of the service.
+    pub service: String,
+    /// What the kind says of weighing, before the service's default applies.
+    pub own_weigh: bool,
+    /// The object.
+    pub object: T,
+}
+
+pub fn revision(section: &Section, faults: &mut Vec<Fault>) -> Option<u64> {
+    let mut fields = Fields::new(section, faults);
+    let revision = fields.number("revision", 1..=u64::MAX);
+    fields.finish();
+    revision
+}
+
+pub fn place(section: &Section, faults: &mut Vec<Fault>) -> Place {
+    let mut fields = Fields::new(section, faults);
+    let region = Arc::from(fields.text_opt("region").unwrap_or("main"));
+    fields.finish();
+    Place {
+        name: section.name.as_str().into(),
+        region,
+    }
+}
+
+pub fn path(section: &Section, faults: &mut Vec<Fault>) -> Option<Path> {
+    let mut fields = Fields::new(section, faults);
+    let from = fields.name("from", "place");
+    let to = fields.name("to", "place");
+    let delay_micros = fields.number("delay_us", 0..=MAX_PATH_MICROS);
+    let price_micros = fields.number_or("price_us", 0, 0..=MAX_PATH_MICROS);
+    fields.finish();
+    Some(Path {
+        name: Arc::from(section.name.as_str()),
+        from: from?.as_str().into(),
+        to: to?.as_str().into(),
+        delay_micros: delay_micros? as u32,
+        price_micros: price_micros as u32,
+    })
+}
+
+pub fn caller(section: &Section, faults: &mut Vec<Fault>) -> Caller {
+    let mut fields = Fields::new(section, faults);
+    let share = fields.number_or("share", 1, 1..=1_000) as u32;
+    fields.finish();
+    Caller {
+        name: section.name.as_str().into(),
+        share,
+    }
+}
+
+pub fn service(section: &Section, faults: &mut Vec<Fault>) -> Service {
+    let mut fields = Fields::new(section, faults);
+    let mut hosts: Vec<Arc<str>> = fields
+        .words("hosts")
+        .iter()
+        .map(|host| Arc::from(host.to_ascii_lowercase()))
+        .collect();
+    if hosts.is_empty() {
+        hosts.push(Arc::from(section.name.as_str()));
+    }
+    let service = Service {
+        name: section.name.as_str().into(),
+        hosts,
+        weigh: fields.choice_or("weigh", Weigh::Latency, WEIGH),
+        measure_milli_per_second: fields.number_or("measure_milli_per_s", 500, 0..=1_000_000),
+        retry_percent: fields.number_or("retry_percent", 10, 0..=100) as u32,
+        subset: fields.number_or("subset", 20, 1..=1_000) as u32,
+        eject_percent: fields.number_or("eject_percent", 34, 0..=90) as u32,
+        kinds: Vec::new(),
+        upstreams: Vec::new(),
+    };
+    fields.finish();
+    service
+}
+
+pub fn kind(section: &Section, faults: &mut Vec<Fault>) -> Option<Owned<Kind>> {
+    let mut fields = Fields::new(section, faults);
+    let service = fields.name("service", "service");
+    let methods = methods(&mut fields);
+    let path = fields.text_opt("path").unwrap_or("/");
+    if !path.starts_with('/') {
+        fields.add_at("path", format!("`{path}` is no path"), "start it with `/`");
+    }
+    let idempotent = fields.flag_or("idempotent", false);
+    let upload = fields.flag_or("upload", false);
+    let urgent = fields.flag_or("urgent", false);
+    let deadline_ms = fields.number("deadline_ms", 1..=MAX_DEADLINE_MS);
+    let attempts = fields.number_or("attempts", 2, 1..=5) as u32;
+    let hedge_percent = fields.number_or("hedge_percent", 0, 0..=50) as u32;
+    let own_weigh = fields.text_opt("weigh").is_some();
+    let weigh = fields.choice_or("weigh", Weigh::Latency, WEIGH);
+    let token = fields.choice_or("token", TokenRule::Ignored, TOKEN);
+    if hedge_percent > 0 && !idempotent {
+        let right = "set `idempotent = yes` or `hedge_percent = 0`";
+        fields.add_at(
+            "hedge_percent",
+            "a kind that isn't idempotent is hedged",
+            right,
+        );
+    }
+    if upload && token != TokenRule::Ignored {
+        fields.add_at("token", "an upload takes no token", "set `token = ignored`");
+    }
+    fields.finish();
+    let object = Kind {
+        name: section.name.as_str().into(),
+        methods,
+        path: Arc::from(path),
+        idempotent,
+        upload,
+        urgent,
+        deadline_ms: deadline_ms?,
+        attempts,
+        hedge_percent,
+        weigh,
+        token,
+    };
+    Some(Owned {
+        service: service?,
+        own_weigh,
+        object,
+    })
+}
+
+fn methods(fields: &mut Fields<'_>) -> Vec<Arc<str>> {
+    let words = fields.words("methods");
+    if words.is_empty() {
+        return vec![Arc::from("GET"), Arc::from("HEAD")];
+    }
+    for word in &words {
+        if !METHODS.contains(&word.as_str()) {
+            let right = format!("the known ones are: {}", METHODS.join(", "));
+            fields.add_at("methods", format!("`{word}` is no method"), &right);
+        }
+    }
+    words.iter().map(|word| Arc::from(word.as_str())).collect()
+}
+
+pub fn upstream(section: &Section, faults: &mut Vec<Fault>) -> Option<Owned<Upstream>> {
+    let mut fields = Fields::new(section, faults);
+    let service = fields.name("service", "service");
+    let place = fields.name("place", "place");
+    let address = fields.address("address");
+    let link = fields.address("link");
+    let slots = fields.number("slots", 1..=10_000);
+    let connections = fields.number_or("connections", 240, 1..=100_000);
+    fields.finish();
+    let object = Upstream {
+        name: section.name.as_str().into(),
+        place: place?.as_str().into(),
+        address: address?,
+        link: link?,
+        slots: slots? as u32,
+        connections: connections as u32,
+    };
+    Some(Owned {
+        service: service?,
+        own_weigh: false,
+        object,
+    })
+}
--- /dev/null
+++ b/crates/mustardtiller-config/src/objects/refer.rs
@@ -0,0 +1,79 @@
+//! References between objects and limits of the whole set.
+
+use std::collections::HashMap;
+
+use crate::Fault;
+use crate::Section;
+
+/// Kinds of object, in the order in which faults advise them.
+pub const KINDS: &[&str] = &[
+    "fleet", "place", "path", "caller", "service", "kind", "upstream",
+];
+
+/// Report a reference to an object that does not exist.
+pub fn refer(sections: &[Section], kind: &str, key: &str, to: &str, faults: &mut Vec<Fault>) {
+    let known: Vec<&str> = names_of(sections, to);
+    for section in sections.iter().filter(|section| section.kind == kind) {
+        let Some(entry) = section.entries.iter().find(|entry| entry.key == key) else {
+            continue;
+        };
+        if !known.contains(&entry.value.as_str()) {
+            let wrong = format!("there is no {to} `{}`", entry.value);
+            let right = crate::ini::suggestion(&entry.value, &known);
+            faults.push(section.fault(entry.line, wrong, right));
+        }
+    }
+}
+
+/// Report objects of one kind and name that stand twice.
+pub fn unique_names(sections: &[Section], faults: &mut Vec<Fault>) {
+    let mut seen: HashMap<String, &Section> = HashMap::new();
+    for section in sections {
+        if let Some(first) = seen.get(&section.heading()) {
+            let right = format!("the first is at {}:{}; keep one", first.file, first.line);
+            faults.push(section.fault(section.line, "the object is given twice", right));
+        } else {
+            seen.insert(section.heading(), section);
+        }
+    }
+}
+
+/// Report two objects of `kind` that share a value of one of `keys`.
+pub fn unique_values(sections: &[Section], kind: &str, keys: &[&str], faults: &mut Vec<Fault>) {
+    let mut seen: HashMap<&str, &Section> = HashMap::new();
+    for section in sections.iter().filter(|section| section.kind == kind) {
+        for entry in section
+            .entries
+            .iter()
+            .filter(|e| keys.contains(&e.key.as_str()))
+        {
+            if let Some(first) = seen.insert(&entry.value, section) {
+                let wrong = format!("`{}` is taken by [{}]", entry.value, first.heading());
+                faults.push(section.fault(entry.line, wrong, "give each its own"));
+            }
+        }
+    }
+}
+
+/// Report services that no object of `kind` refers to.
+pub fn inhabited(sections: &[Section], kind: &str, faults: &mut Vec<Fault>) {
+    for service in sections.iter().filter(|section| section.kind == "service") {
+        let refers = |section: &&Section| {
+            let mut entries = section.entries.iter();
+            section.kind == kind && entries.any(|e| e.key == "service" && e.value == service.name)
+        };
+        if !sections.iter().any(|section| refers(&section)) {
+            let wrong = format!("the service has no {kind}");
+            let right = format!("add a `[{kind} NAME]` with `service = {}`", service.name);
+            faults.push(service.fault(service.line, wrong, right));
+        }
+    }
+}
+
+fn names_of<'a>(sections: &'a [Section], kind: &str) -> Vec<&'a str> {
+    sections
+        .iter()
+        .filter(|section| section.kind == kind)
+        .map(|section| section.name.as_str())
+        .collect()
+}
--- /dev/null
+++ b/crates/mustardtiller-config/src/objects/set.rs
@@ -0,0 +1,31 @@
+//! A checked set of objects.
+
+use std::collections::BTreeMap;
+
+use crate::Fleet;
+use crate::Section;
+use crate::Service;
+
+/// A whole set of objects that passed every check.
+#[derive(Clone, Debug)]
+pub struct ObjectSet {
+    /// What holds for the fleet.
+    pub fleet: Fleet,
+    /// The services with their kinds and upstreams.
+    pub services: Vec<Service>,
+    /// Every object as written, by heading, for comparison.
+    pub(crate) written: BTreeMap<String, BTreeMap<String, String>>,
+}
+
+impl ObjectSet {
+    pub(crate) fn written_form(sections: &[Section]) -> BTreeMap<String, BTreeMap<String, String>> {
+        sections
+            .iter()
+            .map(|section| {
+                let entries = section.entries.iter();
+                let keys = entries.map(|e| (e.key.clone(), e.value.clone())).collect();
+                (section.heading(), keys)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -0,0 +1,13 @@
+//! What a gate admits: its concurrency limit and its short queue.
+
+mod limiter;
+mod queue;
+
+pub use limiter::Limiter;
+pub use limiter::LimiterBounds;
+pub use limiter::LimiterWindow;
+pub use queue::QueueFull;
+pub use queue::Queued;
+pub use queue::Urgency;
+pub use queue::WaitQueue;
+pub use queue::Waiter;
--- /dev/null
+++ b/crates/mustardtiller-core/src/lib.rs
@@ -0,0 +1,36 @@
+//! The load balancer's decisions.
+//!
+//! Everything here is a function of state, event and time. There is no I/O, no
+//! clock and no random source: the caller passes the current [`Instant`] and a
+//! seeded generator, so every decision can be replayed from its inputs.
+//!
+//! # Examples
+//!
+//! ```
+//! use mustardtiller_core::Instant;
+//! use mustardtiller_core::MeasureBudget;
+//!
+//! let mut budget = MeasureBudget::new(2_000, Instant::from_micros(0));
+//! assert!(!budget.try_take(Instant::from_micros(10)));
+//! assert!(budget.try_take(Instant::from_micros(500_000)));
+//! ```
+
+mod admit;
+mod fence;
+mod measure;
+mod names;
+mod outcome;
+mod retry;
+mod revision;
+mod route;
+mod time;
+
+pub use admit::*;
+pub use fence::*;
+pub use measure::*;
+pub use names::*;
+pub use outcome::*;
+pub use retry::*;
+pub use revision::*;
+pub use route::*;
+pub use time::*;
--- /dev/null
+++ b/crates/mustardtiller-core/src/measure/budget.rs
@@ -0,0 +1,54 @@
+//! Permits to measure, at most so many in any window.
+
+use crate::Instant;
+
+/// Microseconds a permit costs at a budget of one permit a second.
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// A budget of measurements of one upstream.
+///
+/// Holds no permit in store: two measurements are never closer than one
+/// interval, and a new budget starts empty. A process that restarts in a loop
+/// therefore measures less, never more.
+#[derive(Clone, Debug)]
+pub struct MeasureBudget {
+    milli_per_second: u64,
+    last: Instant,
+}
+
+impl MeasureBudget {
+    /// Start an empty budget of `milli_per_second` thousandths of a permit a second.
+    #[must_use]
+    pub const fn new(milli_per_second: u64, now: Instant) -> Self {
+        Self {
+            milli_per_second,
+            last: now,
+        }
+    }
+
+    /// Change the budget; the last permit taken counts against the new one.
+    pub const fn set(&mut self, milli_per_second: u64) {
+        self.milli_per_second = milli_per_second;
+    }
+
+    /// Take a permit if one is due at `now`.
+    pub fn try_take(&mut self, now: Instant) -> bool {
+        match self.next_at() {
+            Some(at) if now >= at => {
+                self.last = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Return when the next permit is due, or `None` if the budget is zero.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Instant> {
+        if self.milli_per_second == 0 {
+            return None;
+        }
+        let interval = (MICROS_PER_SECOND * 1_000).div_ceil(self.milli_per_second);
+        Some(self.last.plus_micros(interval))
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-core/src/names/mod.rs
@@ -0,0 +1,9 @@
+//! Names as shared immutable strings.
+
+mod name;
+
+pub use name::CallerName;
+pub use name::KindName;
+pub use name::PlaceName;
+pub use name::ServiceName;
+pub use name::UpstreamName;
--- /dev/null
+++ b/crates/mustardtiller-core/src/names/name.rs
@@ -0,0 +1,74 @@
+//! One newtype a kind of name, each over a shared immutable string.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        ///
+        /// Cloning shares the string; nothing is copied.
+        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Intern a name.
+            #[must_use]
+            pub fn new(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+
+            /// Borrow the text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// The name of a caller: a customer whose requests share one allowance.
+    CallerName
+);
+name_type!(
+    /// The name of a kind of request within a service.
+    KindName
+);
+name_type!(
+    /// The name of a place: one data centre or zone.
+    PlaceName
+);
+name_type!(
+    /// The name of a service: a set of interchangeable upstreams.
+    ServiceName
+);
+name_type!(
+    /// The name of an upstream: one back-end server.
+    UpstreamName
+);
--- /dev/null
+++ b/crates/mustardtiller-core/src/outcome/attempt.rs
@@ -0,0 +1,145 @@
+//! States of one attempt, as types.
+//!
+//! [`Unsent`] is a witness that no byte of the attempt can have reached the
+//! upstream. It is consumed by sending, and a [`NotRun`] is made only from an
+//! `Unsent` or from a gate's [`Verdict`]. An attempt that has been sent can
+//! therefore not be reported as "not run" by mistake: it does not compile.
+
+use crate::NotRunReason;
+use crate::UnknownReason;
+
+/// Start attempts at running a request.
+#[derive(Debug)]
+pub struct Attempt;
+
+impl Attempt {
+    /// Begin an attempt of which nothing has been sent.
+    #[must_use]
+    pub const fn begin() -> Unsent {
+        Unsent(())
+    }
+}
+
+/// A witness that no byte of the attempt has left.
+#[derive(Debug)]
+#[must_use]
+pub struct Unsent(());
+
+impl Unsent {
+    /// Refuse the request, which has not run.
+    #[must_use]
+    pub const fn refuse(self, reason: NotRunReason) -> NotRun {
+        NotRun(reason)
+    }
+
+    /// Record that the first byte is about to leave.
+    pub const fn send(self) -> Sent {
+        Sent(())
+    }
+}
+
+/// A witness that some byte of the attempt may have left.
+///
+/// # Examples
+///
+/// A sent attempt has no way to "not run":
+///
+/// ```compile_fail
+/// use mustardtiller_core::Attempt;
+/// use mustardtiller_core::NotRunReason;
+///
+/// let sent = Attempt::begin().send();
+/// let refusal = sent.refuse(NotRunReason::Unreachable);
+/// ```
+#[derive(Debug)]
+#[must_use]
+pub struct Sent(());
+
+impl Sent {
+    /// Give up on the attempt, whose outcome can't be known.
+    #[must_use]
+    pub const fn unknown(self, reason: UnknownReason) -> Refusal {
+        Refusal::Unknown(reason)
+    }
+
+    /// Take back an attempt that the transport proves it did not send.
+    ///
+    /// `proof` is the unsent message that the transport returned.
+    pub fn unsent<M>(self, proof: M) -> (Unsent, M) {
+        (Unsent(()), proof)
+    }
+
+    /// Accept the gate's verdict on the attempt.
+    #[must_use]
+    pub const fn verdict(self, verdict: Verdict) -> Refusal {
+        match verdict {
+            Verdict::NotRun(reason) => Refusal::NotRun(NotRun(reason)),
+            Verdict::Unknown(reason) => Refusal::Unknown(reason),
+        }
+    }
+}
+
+/// Proof that a request has not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NotRun(NotRunReason);
+
+impl NotRun {
+    /// Return why the request was refused.
+    #[must_use]
+    pub const fn reason(self) -> NotRunReason {
+        self.0
+    }
+}
+
+/// A gate's statement about a request that reached it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The gate refused before the first byte to its upstream.
+    NotRun(NotRunReason),
+    /// The gate can't say.
+    Unknown(UnknownReason),
+}
+
+impl From<Refusal> for Verdict {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::NotRun(not_run) => Self::NotRun(not_run.reason()),
+            Refusal::Unknown(reason) => Self::Unknown(reason),
+        }
+    }
+}
+
+/// A request that was not answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The request did not run on any upstream.
+    NotRun(NotRun),
+    /// It can't be known whether the request ran.
+    Unknown(UnknownReason),
+}
+
+impl Refusal {
+    /// Return the text of the reason.
+    #[must_use]
+    pub const fn reason_text(self) -> &'static str {
+        match self {
+            Self::NotRun(not_run) => not_run.reason().as_str(),
+            Self::Unknown(reason) => reason.as_str(),
+        }
+    }
+
+    /// Return `not-run` or `unknown`.
+    #[must_use]
+    pub const fn class_text(self) -> &'static str {
+        match self {
+            Self::NotRun(_) => "not-run",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
+impl From<NotRun> for Refusal {
+    fn from(not_run: NotRun) -> Self {
+        Self::NotRun(not_run)
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -0,0 +1,116 @@
+//! The closed sets of reasons for a refusal.
+
+use std::fmt;
+
+macro_rules! reasons {
+    ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident = $code:literal $text:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub enum $name {
+            $($(#[$vdoc])* $variant,)*
+        }
+
+        impl $name {
+            /// Every reason, in the order of the codes.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Return the stable code used between processes.
+            #[must_use]
+            pub const fn code(self) -> u8 {
+                match self { $(Self::$variant => $code,)* }
+            }
+
+            /// Return the reason with this code.
+            #[must_use]
+            pub const fn from_code(code: u8) -> Option<Self> {
+                match code { $($code => Some(Self::$variant),)* _ => None }
+            }
+
+            /// Return the text used in headers and metric labels.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self { $(Self::$variant => $text,)* }
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+    };
+}
+
+reasons!(
+    /// Why a request was refused without having run on any upstream.
+    NotRunReason {
+        /// No service answers to the host of the request.
+        NoService = 1 "no-service",
+        /// No kind of the service matches the method and path.
+        NoKind = 2 "no-kind",
+        /// No upstream of the service can be chosen.
+        NoUpstream = 3 "no-upstream",
+        /// No connection to the chosen upstream's daemon could be made.
+        Unreachable = 4 "unreachable",
+        /// The link already carries its limit of streams.
+        LinkFull = 5 "link-full",
+        /// The deadline passed before the first byte was sent.
+        DeadlinePassed = 6 "deadline-passed",
+        /// The upstream is leaving.
+        Leaving = 7 "leaving",
+        /// The gate's queue is full.
+        QueueFull = 8 "queue-full",
+        /// The caller holds more than its fair share while others wait.
+        ShareExceeded = 9 "share-exceeded",
+        /// The gate could not connect to its upstream.
+        UpstreamDown = 10 "upstream-down",
+        /// The gate serves another upstream than the request names.
+        WrongUpstream = 11 "wrong-upstream",
+        /// The token is malformed.
+        BadToken = 12 "bad-token",
+        /// The gate can't remember another token; this one is void.
+        LedgerFull = 13 "ledger-full",
+        /// The token was voided by an earlier refusal.
+        TokenVoid = 14 "token-void",
+        /// The request is malformed or exceeds a limit.
+        BadRequest = 15 "bad-request",
+        /// The body was cut before anything reached the upstream.
+        BodyCut = 16 "body-cut",
+        /// The daemon has accepted no configuration yet.
+        NoConfiguration = 17 "no-configuration",
+        /// The kind of request needs a token and there is none.
+        TokenNeeded = 18 "token-needed",
+    }
+);
+
+reasons!(
+    /// Why it can't be known whether a request ran.
+    UnknownReason {
+        /// The link to the upstream's daemon was lost with the request on it.
+        LinkLost = 1 "link-lost",
+        /// The link went silent with the request on it.
+        LinkSilent = 2 "link-silent",
+        /// The deadline passed after the request was sent.
+        DeadlinePassed = 3 "deadline-passed",
+        /// The upstream closed the connection without a complete answer.
+        AnswerCut = 4 "answer-cut",
+        /// The body was cut after some of it had reached the upstream.
+        BodyCut = 5 "body-cut",
+        /// The token's gate has been replaced.
+        IncarnationGone = 6 "incarnation-gone",
+        /// The token has expired and is forgotten.
+        TokenExpired = 7 "token-expired",
+        /// The token was minted in the gate's future.
+        TokenEarly = 8 "token-early",
+        /// A request with the same token is running.
+        InProgress = 9 "in-progress",
+        /// The request ran, and its answer was not kept.
+        AnswerNotKept = 10 "answer-not-kept",
+        /// The token's gate could not be asked.
+        GateUnreachable = 11 "gate-unreachable",
+        /// The upstream's answer exceeds a limit or is malformed.
+        BadAnswer = 12 "bad-answer",
+        /// The token was used before for another request.
+        TokenReused = 13 "token-reused",
+    }
+);
--- /dev/null
+++ b/crates/mustardtiller-core/src/revision/mod.rs
@@ -0,0 +1,6 @@
+//! The order of configurations.
+
+mod version;
+
+pub use version::Digest;
+pub use version::Version;
--- /dev/null
+++ b/crates/mustardtiller-core/src/route/choice.rs
@@ -0,0 +1,143 @@
+//! The choice of an upstream from samples.
+
+use smallvec::SmallVec;
+
+use crate::Sample;
+use crate::Standing;
+
+/// Candidates looked at in one choice, kept on the stack.
+const MAX_LOOKED_AT: usize = 32;
+
+/// Time that one error is worth at full error rate, in microseconds.
+const ERROR_PENALTY_MICROS: u64 = 2_000_000;
+
+/// Least time of an answer that a score assumes, in microseconds.
+const LEAST_LATENCY_MICROS: u64 = 200;
+
+/// What a kind of request weighs more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Weigh {
+    /// Tail latency: a distant place is taken to save waiting.
+    Latency,
+    /// Cost: waiting is taken to save a distant place.
+    Cost,
+}
+
+/// How choices are made.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Candidates drawn at random for one choice.
+    pub draws: usize,
+    /// Age at which a report counts for half, in microseconds.
+    pub half_life_micros: u64,
+    /// What is weighed more.
+    pub weigh: Weigh,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            draws: 4,
+            half_life_micros: 50_000,
+            weigh: Weigh::Latency,
+        }
+    }
+}
+
+/// A chosen candidate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Its index among the samples.
+    pub index: usize,
+    /// Its score: the expected time of an answer, in microseconds.
+    pub score_micros: u64,
+}
+
+/// Choose one of `samples`, or `None` when none may be chosen.
+///
+/// Draws a few live candidates at random and takes the lowest score. With no
+/// live candidate left it takes an ejected one: an upstream that fails often
+/// is better than a refusal.
+///
+/// # Examples
+///
+/// ```
+/// use mustardtiller_core::Policy;
+/// use mustardtiller_core::Sample;
+/// use mustardtiller_core::Standing;
+/// use mustardtiller_core::choose;
+///
+/// let idle = Sample {
+///     standing: Standing::Live,
+///     reported: 0,
+///     report_age_micros: 1_000,
+///     outstanding: 0,
+///     outstanding_at_report: 0,
+///     slots: 12,
+///     latency_micros: 8_000,
+///     error_milli: 0,
+///     ramp_milli: 1_000,
+///     price_micros: 0,
+/// };
+/// let busy = Sample { reported: 30, ..idle };
+/// let mut rng = fastrand::Rng::with_seed(7);
+/// let choice = choose(&[busy, idle], &Policy::default(), &mut rng).unwrap();
+/// assert_eq!(choice.index, 1);
+/// ```
+#[must_use]
+pub fn choose(samples: &[Sample], policy: &Policy, rng: &mut fastrand::Rng) -> Option<Choice> {
+    choose_standing(samples, policy, rng, Standing::Live)
+        .or_else(|| choose_standing(samples, policy, rng, Standing::Ejected))
+}
+
+fn choose_standing(
+    samples: &[Sample],
+    policy: &Policy,
+    rng: &mut fastrand::Rng,
+    standing: Standing,
+) -> Option<Choice> {
+    let mut open: SmallVec<[u32; MAX_LOOKED_AT]> = samples
+        .iter()
+        .enumerate()
+        .filter(|(_, sample)| sample.standing == standing)
+        .map(|(index, _)| index as u32)
+        .collect();
+    let draws = policy.draws.max(1).min(open.len());
+    for drawn in 0..draws {
+        let other = rng.usize(drawn..open.len());
+        open.swap(drawn, other);
+    }
+    open[..draws]
+        .iter()
+        .map(|&index| index as usize)
+        .map(|index| Choice {
+            index,
+            score_micros: score(&samples[index], policy),
+        })
+        .min_by_key(|choice| choice.score_micros)
+}
+
+/// Return the expected time of an answer from `sample`, in microseconds.
+fn score(sample: &Sample, policy: &Policy) -> u64 {
+    let slots = u64::from(sample.slots.max(1));
+    let latency = u64::from(sample.latency_micros).max(LEAST_LATENCY_MICROS);
+    let load_milli = estimated_load_milli(sample, policy);
+    let warm_milli = u64::from(sample.ramp_milli.clamp(50, 1_000));
+    let waiting = latency * load_milli / slots / warm_milli;
+    let errors = ERROR_PENALTY_MICROS * u64::from(sample.error_milli) / 1_000;
+    let price = match policy.weigh {
+        Weigh::Latency => u64::from(sample.price_micros),
+        Weigh::Cost => u64::from(sample.price_micros) * 4,
+    };
+    latency + waiting + errors + price
+}
+
+/// Estimate the load at the upstream now, in thousandths of a request.
+///
+/// A report fades with its age; this entry's own requests don't.
+fn estimated_load_milli(sample: &Sample, policy: &Policy) -> u64 {
+    let others = sample.reported.saturating_sub(sample.outstanding_at_report);
+    let half_life = policy.half_life_micros.max(1);
+    let faded = u64::from(others) * 1_000 * half_life / (half_life + sample.report_age_micros);
+    faded + (u64::from(sample.outstanding) + 1) * 1_000
+}
--- /dev/null
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -0,0 +1,17 @@
+//! Which upstream a request goes to.
+
+mod choice;
+mod health;
+mod sample;
+mod subset;
+
+pub use choice::Choice;
+pub use choice::Policy;
+pub use choice::Weigh;
+pub use choice::choose;
+pub use health::EjectionRule;
+pub use health::ErrorRate;
+pub use health::may_eject;
+pub use sample::Sample;
+pub use sample::Standing;
+pub use subset::subset;
--- /dev/null
+++ b/crates/mustardtiller-core/src/time/offset.rs
@@ -0,0 +1,98 @@
+//! The offset between a peer's monotonic clock and ours.
+
+use smallvec::SmallVec;
+
+use crate::Deadline;
+use crate::Instant;
+
+/// How many exchanges are kept.
+const KEPT_SAMPLES: usize = 8;
+
+/// Bound of drift between two monotonic clocks, in parts per million.
+const DRIFT_PPM: u64 = 200;
+
+/// One exchange of clock readings with a peer.
+#[derive(Clone, Copy, Debug)]
+pub struct ClockSample {
+    /// When the question left, in our time.
+    pub sent: Instant,
+    /// When the answer came, in our time.
+    pub received: Instant,
+    /// What the peer's clock read in between.
+    pub peer: Instant,
+}
+
+impl ClockSample {
+    /// Return the peer's clock minus ours, in microseconds.
+    fn offset_micros(&self) -> i64 {
+        let middle = self.sent.as_micros().midpoint(self.received.as_micros());
+        self.peer.as_micros() as i64 - middle as i64
+    }
+
+    /// Return the largest error of the offset at `now`, in microseconds.
+    fn error_micros(&self, now: Instant) -> u64 {
+        let half_trip = self.received.micros_since(self.sent).div_ceil(2);
+        let drift = now.micros_since(self.received) * DRIFT_PPM / 1_000_000;
+        half_trip + drift
+    }
+}
+
+/// An estimate of a peer's clock from recent exchanges.
+///
+/// The exchange with the smallest error bound wins, so a pause of either end
+/// widens one sample and changes nothing.
+///
+/// # Examples
+///
+/// ```
+/// use mustardtiller_core::ClockOffset;
+/// use mustardtiller_core::ClockSample;
+/// use mustardtiller_core::Deadline;
+/// use mustardtiller_core::Instant;
+///
+/// let at = Instant::from_micros;
+/// let mut offset = ClockOffset::default();
+/// offset.observe(ClockSample { sent: at(100), received: at(120), peer: at(5_110) });
+/// let there = offset.to_peer(Deadline::at(at(1_000)), at(120)).unwrap();
+/// assert_eq!(there, Deadline::at(at(5_990)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ClockOffset {
+    samples: SmallVec<[ClockSample; KEPT_SAMPLES]>,
+}
+
+impl ClockOffset {
+    /// Add an exchange and forget the oldest beyond the kept number.
+    pub fn observe(&mut self, sample: ClockSample) {
+        if self.samples.len() == KEPT_SAMPLES {
+            self.samples.remove(0);
+        }
+        self.samples.push(sample);
+    }
+
+    /// Convert a deadline to the peer's clock, early by the error bound.
+    ///
+    /// Returns `None` before the first exchange.
+    #[must_use]
+    pub fn to_peer(&self, deadline: Deadline, now: Instant) -> Option<Deadline> {
+        let best = self.best(now)?;
+        let shifted = deadline
+            .instant()
+            .as_micros()
+            .saturating_add_signed(best.offset_micros());
+        let early = shifted.saturating_sub(best.error_micros(now));
+        Some(Deadline::at(Instant::from_micros(early)))
+    }
+
+    /// Estimate what the peer's clock reads at `now`.
+    #[must_use]
+    pub fn peer_now(&self, now: Instant) -> Option<Instant> {
+        let best = self.best(now)?;
+        let there = now.as_micros().saturating_add_signed(best.offset_micros());
+        Some(Instant::from_micros(there))
+    }
+
+    fn best(&self, now: Instant) -> Option<&ClockSample> {
+        self.samples.iter().min_by_key(|s| s.error_micros(now))
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-wire/src/frame/mod.rs
@@ -0,0 +1,16 @@
+//! The frames of a link.
+
+mod head;
+mod message;
+
+pub use head::AnswerHead;
+pub use head::BodyForm;
+pub use head::Header;
+pub use head::RequestHead;
+pub use head::TokenForm;
+pub use message::Frame;
+pub use message::Hello;
+pub use message::LoadReport;
+pub use message::PROTOCOL_VERSION;
+pub use message::VerdictForm;
+pub use message::Welcome;
