--- /dev/null
+++ b/crates/mustardtiller-cli/src/commands/sets.rs
@@ -0,0 +1,76 @@
+//! Subcommands that read sets.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use mustardtiller_config::CheckError;
+use mustardtiller_config::ObjectSet;
+use mustardtiller_config::check_dir;
+
+use super::EXIT_FAULTS;
+use super::EXIT_FILES;
+use super::EXIT_STALE;
+
+/// Read a set, or print its faults and return the exit code.
+pub fn read(dir: &str) -> Result<ObjectSet, ExitCode> {
+    check_dir(Path::new(dir)).map_err(|e| {
+        if let CheckError::Faults { faults } = &e {
+            for fault in faults {
+                eprintln!("{fault}");
+            }
+            eprintln!("{}: {e}", dir);
+            return ExitCode::from(EXIT_FAULTS);
+        }
+        eprintln!("mustardtiller: {e}");
+        ExitCode::from(EXIT_FILES)
+    })
+}
+
+/// Check a set.
+pub fn check(dir: &str) -> ExitCode {
+    match read(dir) {
+        Err(code) => code,
+        Ok(set) => {
+            let upstreams: usize = set.services.iter().map(|s| s.upstreams.len()).sum();
+            let kinds: usize = set.services.iter().map(|s| s.kinds.len()).sum();
+            println!(
+                "{dir}: good; revision {}, {} services, {kinds} kinds, {upstreams} upstreams",
+                set.fleet.revision,
+                set.services.len()
+            );
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Compare two sets.
+pub fn diff(old: &str, new: &str) -> ExitCode {
+    let (old, new) = match (read(old), read(new)) {
+        (Ok(old), Ok(new)) => (old, new),
+        (Err(code), _) | (_, Err(code)) => return code,
+    };
+    let lines = mustardtiller_config::diff(&old, &new);
+    for line in &lines {
+        println!("{line}");
+    }
+    if !lines.is_empty() && new.fleet.revision <= old.fleet.revision {
+        return ExitCode::from(EXIT_STALE);
+    }
+    ExitCode::SUCCESS
+}
+
+/// Print the host list of a set.
+pub fn hosts(dir: &str) -> ExitCode {
+    match read(dir) {
+        Err(code) => code,
+        Ok(set) => {
+            for upstream in set.services.iter().flat_map(|s| &s.upstreams) {
+                println!(
+                    "{} {} {} live",
+                    upstream.name, upstream.place, upstream.link
+                );
+            }
+            ExitCode::SUCCESS
+        }
+    }
+}
--- a/crates/mustardtiller-config/src/artefact/read.rs
+++ b/crates/mustardtiller-config/src/artefact/read.rs
@@ -73,13 +73,11 @@
         }
     }
 
-    /// Return the digests that are wanted and not yet there.
-    ///
-    /// `wanted` tells which services this process uses.
-    pub fn missing(&self, wanted: impl Fn(&str) -> bool) -> Vec<Digest> {
+    /// Return the digests of the parts that are not yet there.
+    #[must_use]
+    pub fn missing(&self) -> Vec<Digest> {
         let services = self.manifest.services.iter();
         services
-            .filter(|service| wanted(&service.name))
             .map(|service| Digest(service.digest))
             .chain([Digest(self.manifest.fleet)])
             .filter(|digest| !self.parts.contains_key(digest))
@@ -112,26 +110,29 @@
     }
 
     pub(crate) fn fleet(&self) -> Result<Fleet, ArtefactError> {
-        let digest = Digest(self.manifest.fleet);
-        let bytes = self.parts.get(&digest).ok_or_else(|| {
-            ArtefactError::new(ArtefactErrorKind::Missing, "the fleet part is not there")
-        })?;
-        let part: FleetPart = decode("fleet", bytes)?;
+        let part: FleetPart = decode("fleet", self.part("fleet", self.manifest.fleet)?)?;
         let fleet = fleet_from(part, self.manifest.revision);
         check_paths(&fleet)?;
         Ok(fleet)
     }
 
+    fn part(&self, name: &str, digest: [u8; 16]) -> Result<&[u8], ArtefactError> {
+        let bytes = self.parts.get(&Digest(digest));
+        bytes.map(Vec::as_slice).ok_or_else(|| {
+            ArtefactError::new(
+                ArtefactErrorKind::Missing,
+                format!("part {name} is not there"),
+            )
+        })
+    }
+
     pub(crate) fn services(&self) -> Result<Vec<Service>, ArtefactError> {
         let fleet = self.fleet()?;
         let places: HashSet<&PlaceName> = fleet.places.iter().map(|place| &place.name).collect();
         let mut services = Vec::new();
         let mut links = HashSet::new();
         for listed in &self.manifest.services {
-            let Some(bytes) = self.parts.get(&Digest(listed.digest)) else {
-                continue;
-            };
-            let part: ServicePart = decode(&listed.name, bytes)?;
+            let part: ServicePart = decode(&listed.name, self.part(&listed.name, listed.digest)?)?;
             if part.name != listed.name {
                 return Err(inconsistent(format!(
                     "part {} is of {}",
--- a/crates/mustardtiller-core/src/lib.rs
+++ b/crates/mustardtiller-core/src/lib.rs
@@ -23,6 +23,8 @@
 mod retry;
 mod revision;
 mod route;
+mod silence;
+mod spread;
 mod time;
 
 pub use admit::*;
@@ -33,4 +35,6 @@
 pub use retry::*;
 pub use revision::*;
 pub use route::*;
+pub use silence::*;
+pub use spread::*;
 pub use time::*;
--- a/crates/mustardtiller-core/src/route/choice.rs
+++ b/crates/mustardtiller-core/src/route/choice.rs
@@ -14,6 +14,12 @@
 /// Least time of an answer that a score assumes, in microseconds.
 const LEAST_LATENCY_MICROS: u64 = 200;
 
+/// Age at which a smoothed latency counts for half, in microseconds.
+const LATENCY_HALF_LIFE_MICROS: u64 = 1_000_000;
+
+/// Age at which a smoothed error rate counts for half, in microseconds.
+const ERROR_HALF_LIFE_MICROS: u64 = 1_000_000;
+
 /// What a kind of request weighs more.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Weigh {
@@ -75,7 +81,9 @@
 ///     outstanding_at_report: 0,
 ///     slots: 12,
 ///     latency_micros: 8_000,
+///     latency_age_micros: 1_000,
 ///     error_milli: 0,
+///     error_age_micros: 0,
 ///     ramp_milli: 1_000,
 ///     price_micros: 0,
 /// };
@@ -120,11 +128,21 @@
 /// Return the expected time of an answer from `sample`, in microseconds.
 fn score(sample: &Sample, policy: &Policy) -> u64 {
     let slots = u64::from(sample.slots.max(1));
-    let latency = u64::from(sample.latency_micros).max(LEAST_LATENCY_MICROS);
+    let latency = faded(
+        u64::from(sample.latency_micros),
+        sample.latency_age_micros,
+        LATENCY_HALF_LIFE_MICROS,
+    )
+    .max(LEAST_LATENCY_MICROS);
     let load_milli = estimated_load_milli(sample, policy);
     let warm_milli = u64::from(sample.ramp_milli.clamp(50, 1_000));
     let waiting = latency * load_milli / slots / warm_milli;
-    let errors = ERROR_PENALTY_MICROS * u64::from(sample.error_milli) / 1_000;
+    let error_milli = faded(
+        u64::from(sample.error_milli),
+        sample.error_age_micros,
+        ERROR_HALF_LIFE_MICROS,
+    );
+    let errors = ERROR_PENALTY_MICROS * error_milli / 1_000;
     let price = match policy.weigh {
         Weigh::Latency => u64::from(sample.price_micros),
         Weigh::Cost => u64::from(sample.price_micros) * 4,
@@ -137,7 +155,17 @@
 /// A report fades with its age; this entry's own requests don't.
 fn estimated_load_milli(sample: &Sample, policy: &Policy) -> u64 {
     let others = sample.reported.saturating_sub(sample.outstanding_at_report);
-    let half_life = policy.half_life_micros.max(1);
-    let faded = u64::from(others) * 1_000 * half_life / (half_life + sample.report_age_micros);
-    faded + (u64::from(sample.outstanding) + 1) * 1_000
+    let others_milli = u64::from(others) * 1_000;
+    let heard = faded(
+        others_milli,
+        sample.report_age_micros,
+        policy.half_life_micros,
+    );
+    heard + (u64::from(sample.outstanding) + 1) * 1_000
+}
+
+/// Let a value fade with its age, to half at `half_life_micros`.
+fn faded(value: u64, age_micros: u64, half_life_micros: u64) -> u64 {
+    let half_life = half_life_micros.max(1);
+    value * half_life / (half_life + age_micros)
 }
--- a/crates/mustardtiller-core/src/route/sample.rs
+++ b/crates/mustardtiller-core/src/route/sample.rs
@@ -28,8 +28,12 @@
     pub slots: u32,
     /// Smoothed time of an answer, in microseconds.
     pub latency_micros: u32,
+    /// Microseconds since an answer last told that time.
+    pub latency_age_micros: u64,
     /// Smoothed share of errors, in thousandths.
     pub error_milli: u32,
+    /// Microseconds since the last error.
+    pub error_age_micros: u64,
     /// Share of its full load that it may be given, in thousandths (cold start).
     pub ramp_milli: u32,
     /// Price of reaching its place, in microseconds of latency.
--- /dev/null
+++ b/crates/mustardtiller-core/src/spread/hosts.rs
@@ -0,0 +1,114 @@
+//! The host list, and who reads or talks to whom.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+
+use smallvec::SmallVec;
+
+use crate::PlaceName;
+use crate::UpstreamName;
+
+/// Whether a host stays.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MemberState {
+    /// It serves.
+    Live,
+    /// It is leaving.
+    Leaving,
+}
+
+/// One host of the list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// The upstream on the host.
+    pub name: UpstreamName,
+    /// Its place.
+    pub place: PlaceName,
+    /// Where its daemon takes links and gossip.
+    pub link: SocketAddr,
+    /// Whether it stays.
+    pub state: MemberState,
+}
+
+/// The host list as last read. It lags.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct HostList {
+    /// The hosts.
+    pub members: Vec<Member>,
+}
+
+impl HostList {
+    /// Return the state of a host, or `None` if it is not listed.
+    #[must_use]
+    pub fn state_of(&self, name: &UpstreamName) -> Option<MemberState> {
+        let member = self.members.iter().find(|member| member.name == *name)?;
+        Some(member.state)
+    }
+
+    /// Report whether `me` is among the `readers` of its place.
+    ///
+    /// Readers are the live hosts of a place with the highest hashes, so all
+    /// that hold one list agree without a word. A host that the list does not
+    /// name reads too: it can't know that somebody reads for it.
+    #[must_use]
+    pub fn is_reader(&self, me: &UpstreamName, readers: usize) -> bool {
+        let Some(own) = self.members.iter().find(|member| member.name == *me) else {
+            return true;
+        };
+        let own_weight = weight(&own.name);
+        let before = self.members.iter().filter(|member| {
+            member.place == own.place
+                && member.state == MemberState::Live
+                && weight(&member.name) > own_weight
+        });
+        before.take(readers).count() < readers
+    }
+
+    /// Draw up to `count` peers other than `me`.
+    ///
+    /// Half of the draws stay within `place`, where links are cheap; the rest
+    /// go anywhere, so that no place is left behind.
+    #[must_use]
+    pub fn draw_peers(
+        &self,
+        me: &UpstreamName,
+        place: &PlaceName,
+        count: usize,
+        rng: &mut fastrand::Rng,
+    ) -> SmallVec<[SocketAddr; 4]> {
+        let mut peers = SmallVec::new();
+        for _ in 0..count * 4 {
+            if peers.len() == count || self.members.is_empty() {
+                break;
+            }
+            let near = rng.bool();
+            let member = self.draw(near.then_some(place), rng);
+            if member.name != *me && !peers.contains(&member.link) {
+                peers.push(member.link);
+            }
+        }
+        peers
+    }
+
+    /// Draw a member, from `place` if one can be found there in a few tries.
+    fn draw(&self, place: Option<&PlaceName>, rng: &mut fastrand::Rng) -> &Member {
+        let mut member = &self.members[rng.usize(..self.members.len())];
+        if let Some(place) = place {
+            for _ in 0..16 {
+                if member.place == *place {
+                    break;
+                }
+                member = &self.members[rng.usize(..self.members.len())];
+            }
+        }
+        member
+    }
+}
+
+fn weight(name: &UpstreamName) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -0,0 +1,334 @@
+//! One daemon's part in spreading configurations, as a pure step.
+
+use std::net::SocketAddr;
+
+use smallvec::SmallVec;
+
+use crate::Deadline;
+use crate::HostList;
+use crate::Instant;
+use crate::PlaceName;
+use crate::UpstreamName;
+use crate::Version;
+
+/// Refused versions that are remembered.
+const REMEMBERED_REFUSALS: usize = 4;
+
+/// Rates and counts of the spread.
+#[derive(Clone, Copy, Debug)]
+pub struct SpreadRule {
+    /// Hosts a place that watch the platform.
+    pub readers: usize,
+    /// Peers told of a new version.
+    pub fanout: usize,
+    /// Time between two rounds of gossip, in milliseconds.
+    pub gossip_ms: u64,
+    /// Time between two reads of a host that is no reader, in milliseconds.
+    pub idle_read_ms: u64,
+    /// First wait after a failed read, in milliseconds; doubles.
+    pub retry_ms: u64,
+    /// Longest wait after a failed read, in milliseconds.
+    pub max_retry_ms: u64,
+    /// Time within which the fleet's first reads are spread, in milliseconds.
+    pub start_ms: u64,
+    /// Time after which a fetch counts as failed, in milliseconds.
+    pub fetch_ms: u64,
+}
+
+impl Default for SpreadRule {
+    fn default() -> Self {
+        Self {
+            readers: 3,
+            fanout: 3,
+            gossip_ms: 1_000,
+            idle_read_ms: 300_000,
+            retry_ms: 500,
+            max_retry_ms: 15_000,
+            start_ms: 200,
+            fetch_ms: 2_000,
+        }
+    }
+}
+
+/// What happened.
+#[derive(Clone, Copy, Debug)]
+pub enum SpreadEvent {
+    /// A deadline may have passed.
+    Tick,
+    /// A peer holds a version, and perhaps asks for ours.
+    PeerHas {
+        /// The peer.
+        peer: SocketAddr,
+        /// What it holds.
+        version: Version,
+        /// It wants an answer.
+        asks: bool,
+    },
+    /// The platform was read; it holds this version.
+    PlatformHas(Version),
+    /// The platform could not be read.
+    PlatformFailed,
+    /// The configuration of this version is in force here.
+    Accepted(Version),
+    /// The configuration of this version was not accepted.
+    Refused(Version),
+    /// A configuration could not be fetched.
+    FetchFailed,
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SpreadEffect {
+    /// Tell a peer what is held, and ask for its version if `ask`.
+    Tell {
+        /// The peer.
+        peer: SocketAddr,
+        /// Whether it is asked to answer.
+        ask: bool,
+    },
+    /// Read the platform; a reader waits there for a change.
+    ReadPlatform {
+        /// Whether to wait for a change.
+        watch: bool,
+    },
+    /// Fetch a version from a peer.
+    FetchFromPeer {
+        /// The peer.
+        peer: SocketAddr,
+        /// The version.
+        version: Version,
+    },
+    /// Fetch a version from the platform.
+    FetchFromPlatform {
+        /// The version.
+        version: Version,
+    },
+}
+
+/// One daemon's part in the spread.
+///
+/// The version held only rises, whoever offers a lower one. A daemon that
+/// starts asks peers before it reads the platform, which may be stale.
+#[derive(Debug)]
+pub struct Spread {
+    me: UpstreamName,
+    place: PlaceName,
+    rule: SpreadRule,
+    held: Version,
+    refused: SmallVec<[Version; REMEMBERED_REFUSALS]>,
+    fetching: Option<(Version, Deadline)>,
+    reading: bool,
+    failures: u32,
+    next_gossip: Deadline,
+    next_read: Deadline,
+}
+
+/// A short list of effects.
+pub type SpreadEffects = SmallVec<[SpreadEffect; 4]>;
+
+impl Spread {
+    /// Start with nothing held.
+    #[must_use]
+    pub fn new(
+        me: UpstreamName,
+        place: PlaceName,
+        rule: SpreadRule,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+    ) -> Self {
+        let first_read = rule.start_ms / 2 + rng.u64(0..=rule.start_ms / 2);
+        Self {
+            me,
+            place,
+            rule,
+            held: Version::default(),
+            refused: SmallVec::new(),
+            fetching: None,
+            reading: false,
+            failures: 0,
+            next_gossip: Deadline::at(now),
+            next_read: Deadline::in_millis(now, first_read),
+        }
+    }
+
+    /// Return the version held; revision zero for none.
+    #[must_use]
+    pub const fn held(&self) -> Version {
+        self.held
+    }
+
+    /// Return when the next [`SpreadEvent::Tick`] is due.
+    #[must_use]
+    pub fn next_tick(&self) -> Deadline {
+        let due = if self.reading {
+            self.next_gossip
+        } else {
+            self.next_gossip.min(self.next_read)
+        };
+        self.fetching.map_or(due, |(_, until)| due.min(until))
+    }
+
+    /// Take one event.
+    pub fn step(
+        &mut self,
+        event: SpreadEvent,
+        hosts: &HostList,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+    ) -> SpreadEffects {
+        match event {
+            SpreadEvent::Tick => self.tick(hosts, now, rng),
+            SpreadEvent::PeerHas {
+                peer,
+                version,
+                asks,
+            } => self.peer_has(peer, version, asks, now),
+            SpreadEvent::PlatformHas(version) => self.platform_has(version, hosts, now, rng),
+            SpreadEvent::PlatformFailed => self.platform_failed(now, rng),
+            SpreadEvent::Accepted(version) => self.accepted(version, hosts, rng),
+            SpreadEvent::Refused(version) => self.refuse(version),
+            SpreadEvent::FetchFailed => {
+                self.fetching = None;
+                SpreadEffects::new()
+            }
+        }
+    }
+
+    fn tick(&mut self, hosts: &HostList, now: Instant, rng: &mut fastrand::Rng) -> SpreadEffects {
+        let mut effects = SpreadEffects::new();
+        if self
+            .fetching
+            .is_some_and(|(_, until)| until.has_passed(now))
+        {
+            self.fetching = None;
+        }
+        if self.next_gossip.has_passed(now) {
+            let millis = jittered(self.rule.gossip_ms, rng);
+            self.next_gossip = Deadline::in_millis(now, millis);
+            let count = if self.held.revision == 0 {
+                self.rule.fanout
+            } else {
+                1
+            };
+            self.tell(hosts, count, true, rng, &mut effects);
+        }
+        if !self.reading && self.next_read.has_passed(now) {
+            self.reading = true;
+            let reader = hosts.is_reader(&self.me, self.rule.readers);
+            let watch = reader && self.held.revision > 0 && self.failures == 0;
+            effects.push(SpreadEffect::ReadPlatform { watch });
+        }
+        effects
+    }
+
+    fn peer_has(
+        &mut self,
+        peer: SocketAddr,
+        version: Version,
+        asks: bool,
+        now: Instant,
+    ) -> SpreadEffects {
+        let mut effects = SpreadEffects::new();
+        if self.wants(version) {
+            self.begin_fetch(version, now);
+            effects.push(SpreadEffect::FetchFromPeer { peer, version });
+        }
+        if asks || version < self.held {
+            effects.push(SpreadEffect::Tell { peer, ask: false });
+        }
+        effects
+    }
+
+    fn platform_has(
+        &mut self,
+        version: Version,
+        hosts: &HostList,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+    ) -> SpreadEffects {
+        let mut effects = SpreadEffects::new();
+        self.reading = false;
+        self.failures = 0;
+        let reader = hosts.is_reader(&self.me, self.rule.readers);
+        let wait = if reader {
+            0
+        } else {
+            jittered(self.rule.idle_read_ms, rng)
+        };
+        self.next_read = Deadline::in_millis(now, wait);
+        if self.wants(version) {
+            self.begin_fetch(version, now);
+            effects.push(SpreadEffect::FetchFromPlatform { version });
+        }
+        effects
+    }
+
+    fn platform_failed(&mut self, now: Instant, rng: &mut fastrand::Rng) -> SpreadEffects {
+        self.reading = false;
+        let wait = self.rule.retry_ms << self.failures.min(8);
+        self.failures += 1;
+        let wait = jittered(wait.min(self.rule.max_retry_ms), rng);
+        self.next_read = Deadline::in_millis(now, wait);
+        SpreadEffects::new()
+    }
+
+    fn accepted(
+        &mut self,
+        version: Version,
+        hosts: &HostList,
+        rng: &mut fastrand::Rng,
+    ) -> SpreadEffects {
+        let mut effects = SpreadEffects::new();
+        self.end_fetch(version);
+        if version > self.held {
+            self.held = version;
+            self.tell(hosts, self.rule.fanout, false, rng, &mut effects);
+        }
+        effects
+    }
+
+    fn refuse(&mut self, version: Version) -> SpreadEffects {
+        self.end_fetch(version);
+        if self.refused.len() == REMEMBERED_REFUSALS {
+            self.refused.remove(0);
+        }
+        self.refused.push(version);
+        SpreadEffects::new()
+    }
+
+    fn wants(&self, version: Version) -> bool {
+        let newer = version > self.held && version.revision > 0;
+        let sooner = self.fetching.is_none_or(|(fetched, _)| version > fetched);
+        newer && sooner && !self.refused.contains(&version)
+    }
+
+    fn begin_fetch(&mut self, version: Version, now: Instant) {
+        let until = Deadline::in_millis(now, self.rule.fetch_ms);
+        self.fetching = Some((version, until));
+    }
+
+    fn end_fetch(&mut self, version: Version) {
+        if self.fetching.is_some_and(|(fetched, _)| fetched <= version) {
+            self.fetching = None;
+        }
+    }
+
+    fn tell(
+        &self,
+        hosts: &HostList,
+        count: usize,
+        ask: bool,
+        rng: &mut fastrand::Rng,
+        effects: &mut SpreadEffects,
+    ) {
+        for peer in hosts.draw_peers(&self.me, &self.place, count, rng) {
+            effects.push(SpreadEffect::Tell { peer, ask });
+        }
+    }
+}
+
+/// Return `millis` give or take a quarter.
+fn jittered(millis: u64, rng: &mut fastrand::Rng) -> u64 {
+    let quarter = millis / 4;
+    millis - quarter + rng.u64(0..=quarter * 2)
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/src/load/plan.rs
@@ -0,0 +1,110 @@
+//! What load to put on entries, and what came of it.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use hdrhistogram::Histogram;
+
+/// A load to run.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// The entries, used in turn.
+    pub entries: Vec<SocketAddr>,
+    /// The host of browses.
+    pub browse_host: String,
+    /// The host of orders.
+    pub order_host: String,
+    /// The host of uploads.
+    pub upload_host: String,
+    /// Calls a second, all kinds together.
+    pub rate: u64,
+    /// How long to run, in milliseconds.
+    pub millis: u64,
+    /// Orders, in percent of the calls.
+    pub order_percent: u8,
+    /// Uploads, in percent of the calls.
+    pub upload_percent: u8,
+    /// Bytes of an upload.
+    pub upload_bytes: usize,
+    /// The seed of every draw.
+    pub seed: u64,
+}
+
+/// What came of a load.
+#[derive(Debug)]
+pub struct LoadReport {
+    /// Calls made.
+    pub asked: u64,
+    /// Calls answered whole and with the right content.
+    pub answered: u64,
+    /// Calls refused as "not run".
+    pub not_run: u64,
+    /// Calls whose outcome is unknown.
+    pub unknown: u64,
+    /// Calls for which no entry answered at all.
+    pub no_answer: u64,
+    /// Answers with wrong content.
+    pub wrong: u64,
+    /// Keys of orders and uploads that were answered as done.
+    pub done: Vec<String>,
+    /// Keys of orders and uploads that were refused as "not run".
+    pub refused: Vec<String>,
+    /// Times of answered calls, in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+impl LoadReport {
+    pub(super) fn new() -> Self {
+        let latency = Histogram::new_with_bounds(1, 120_000_000, 3);
+        Self {
+            asked: 0,
+            answered: 0,
+            not_run: 0,
+            unknown: 0,
+            no_answer: 0,
+            wrong: 0,
+            done: Vec::new(),
+            refused: Vec::new(),
+            latency: latency.expect("the bounds are valid"),
+        }
+    }
+
+    pub(super) fn add(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.answered += other.answered;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.no_answer += other.no_answer;
+        self.wrong += other.wrong;
+        self.done.extend(other.done);
+        self.refused.extend(other.refused);
+        self.latency
+            .add(&other.latency)
+            .expect("the bounds are the same");
+    }
+
+    /// Return a quantile of the latency, in milliseconds.
+    #[must_use]
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "asked      {:>8}", self.asked)?;
+        writeln!(f, "answered   {:>8}", self.answered)?;
+        writeln!(f, "not run    {:>8}", self.not_run)?;
+        writeln!(f, "unknown    {:>8}", self.unknown)?;
+        writeln!(f, "no answer  {:>8}", self.no_answer)?;
+        writeln!(f, "wrong      {:>8}", self.wrong)?;
+        write!(
+            f,
+            "latency ms   p50 {:.2}  p99 {:.2}  p99.9 {:.2}  max {:.2}",
+            self.quantile_ms(0.5),
+            self.quantile_ms(0.99),
+            self.quantile_ms(0.999),
+            self.quantile_ms(1.0)
+        )
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/src/platform/mod.rs
@@ -0,0 +1,5 @@
+//! A stand-in for the configuration service and the host list.
+
+mod service;
+
+pub use service::StandinPlatform;
--- /dev/null
+++ b/crates/mustardtiller-standin/src/platform/service.rs
@@ -0,0 +1,179 @@
+//! Values in memory, read and watched over HTTP, with every call counted.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use mustardtiller::config::Artefact;
+use smol::Timer;
+use smol::future;
+use smol::net::TcpListener;
+use smol_hyper::rt::FuturesIo;
+
+use crate::Runner;
+
+/// Time between two looks at a watched value, in milliseconds.
+const LOOK_MS: u64 = 5;
+
+#[derive(Debug, Default)]
+struct Values {
+    values: HashMap<String, (Bytes, u64)>,
+    writes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    values: Mutex<Values>,
+    calls: AtomicU64,
+    down: AtomicBool,
+}
+
+/// The platform in memory.
+#[derive(Clone, Debug)]
+pub struct StandinPlatform {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl StandinPlatform {
+    /// Serve at `address`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address is taken.
+    #[must_use]
+    pub fn start(runner: &Runner, address: SocketAddr) -> Self {
+        let shared = Arc::new(Shared::default());
+        let listener = smol::block_on(TcpListener::bind(address)).expect("the address is free");
+        runner.spawn(serve(
+            listener,
+            Arc::clone(&shared),
+            Arc::clone(runner.executor()),
+        ));
+        Self { address, shared }
+    }
+
+    /// Return where it serves.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Publish an artefact: its parts first, then its manifest.
+    pub fn publish(&self, artefact: &Artefact) {
+        for (digest, bytes) in &artefact.parts {
+            self.put(&format!("/config/parts/{digest}"), bytes.clone());
+        }
+        self.put("/config/manifest", artefact.manifest_bytes.clone());
+    }
+
+    /// Put any value at a path.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread that held the values has panicked.
+    pub fn put(&self, path: &str, bytes: impl Into<Bytes>) {
+        let mut values = self.shared.values.lock().expect("no thread panics here");
+        values.writes += 1;
+        let tag = values.writes;
+        values.values.insert(path.to_owned(), (bytes.into(), tag));
+    }
+
+    /// Set the host list.
+    pub fn set_hosts(&self, text: &str) {
+        self.put("/hosts", text.to_owned());
+    }
+
+    /// Take the service down or up again.
+    pub fn set_down(&self, down: bool) {
+        self.shared.down.store(down, Ordering::SeqCst);
+    }
+
+    /// Return how many calls were made.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::SeqCst)
+    }
+}
+
+async fn serve(listener: TcpListener, shared: Arc<Shared>, executor: Arc<smol::Executor<'static>>) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            continue;
+        };
+        if shared.down.load(Ordering::SeqCst) {
+            drop(socket);
+            continue;
+        }
+        let shared = Arc::clone(&shared);
+        let serving = async move {
+            let service = service_fn(move |req| {
+                let shared = Arc::clone(&shared);
+                async move { Ok::<_, Infallible>(answer(&shared, &req).await) }
+            });
+            let io = FuturesIo::new(socket);
+            let _ = http1::Builder::new().serve_connection(io, service).await;
+        };
+        executor.spawn(serving).detach();
+    }
+}
+
+async fn answer(shared: &Shared, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    shared.calls.fetch_add(1, Ordering::SeqCst);
+    let path = req.uri().path();
+    let held = req
+        .headers()
+        .get("if-none-match")
+        .and_then(|tag| tag.to_str().ok());
+    let held = held.and_then(|tag| tag.parse::<u64>().ok());
+    let wait_ms = req
+        .uri()
+        .query()
+        .and_then(|query| query.strip_prefix("wait_ms="));
+    let wait_ms = wait_ms
+        .and_then(|millis| millis.parse::<u64>().ok())
+        .unwrap_or(0);
+    if let Some(held) = held {
+        wait_for_change(shared, path, held, wait_ms).await;
+    }
+    let found = look(shared, path);
+    let builder = Response::builder();
+    let response = match found {
+        None => builder.status(404).body(Full::default()),
+        Some((_, tag)) if held == Some(tag) => builder.status(304).body(Full::default()),
+        Some((bytes, tag)) => builder
+            .header("etag", tag.to_string())
+            .body(Full::new(bytes)),
+    };
+    response.expect("the parts of the response are valid")
+}
+
+async fn wait_for_change(shared: &Shared, path: &str, held: u64, wait_ms: u64) {
+    let changed = async {
+        while look(shared, path).is_none_or(|(_, tag)| tag == held) {
+            Timer::after(Duration::from_millis(LOOK_MS)).await;
+        }
+    };
+    let late = async {
+        Timer::after(Duration::from_millis(wait_ms)).await;
+    };
+    future::or(changed, late).await;
+}
+
+fn look(shared: &Shared, path: &str) -> Option<(Bytes, u64)> {
+    let values = shared.values.lock().expect("no thread panics here");
+    values.values.get(path).cloned()
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/src/upstream/record.rs
@@ -0,0 +1,120 @@
+//! What a stand-in upstream was asked to do.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+/// The record of one upstream, or of several that share it.
+#[derive(Debug, Default)]
+pub struct UpstreamRecord {
+    runs: Mutex<HashMap<String, u32>>,
+    uploads: Mutex<HashMap<String, Vec<u8>>>,
+    measurements: Mutex<Vec<Instant>>,
+    requests: AtomicU64,
+    cut_uploads: AtomicU64,
+    late: AtomicU64,
+    in_flight: AtomicU64,
+    peak: AtomicU64,
+    journal: AtomicBool,
+}
+
+impl UpstreamRecord {
+    /// Return how often the request with this key ran.
+    #[must_use]
+    pub fn runs(&self, key: &str) -> u32 {
+        *lock(&self.runs).get(key).unwrap_or(&0)
+    }
+
+    /// Return every key and how often it ran.
+    #[must_use]
+    pub fn all_runs(&self) -> HashMap<String, u32> {
+        lock(&self.runs).clone()
+    }
+
+    /// Return the stored upload with this key.
+    #[must_use]
+    pub fn upload(&self, key: &str) -> Option<Vec<u8>> {
+        lock(&self.uploads).get(key).cloned()
+    }
+
+    /// Return the instants of all measurements.
+    #[must_use]
+    pub fn measurements(&self) -> Vec<Instant> {
+        lock(&self.measurements).clone()
+    }
+
+    /// Return how many requests came, measurements left out.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        self.requests.load(Ordering::SeqCst)
+    }
+
+    /// Return how many uploads ended before they were whole.
+    #[must_use]
+    pub fn cut_uploads(&self) -> u64 {
+        self.cut_uploads.load(Ordering::SeqCst)
+    }
+
+    /// Return how many requests came after the deadline they carry.
+    #[must_use]
+    pub fn late(&self) -> u64 {
+        self.late.load(Ordering::SeqCst)
+    }
+
+    /// Return how many requests are in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Return the most requests that were in flight at once.
+    #[must_use]
+    pub fn peak(&self) -> u64 {
+        self.peak.load(Ordering::SeqCst)
+    }
+
+    /// Print `run KEY` at each run from now on, so that a kill loses no record.
+    pub fn print_runs(&self) {
+        self.journal.store(true, Ordering::SeqCst);
+    }
+
+    pub(super) fn count_run(&self, key: &str) {
+        if self.journal.load(Ordering::SeqCst) {
+            println!("run {key}");
+        }
+        *lock(&self.runs).entry(key.to_owned()).or_insert(0) += 1;
+    }
+
+    pub(super) fn store_upload(&self, key: &str, bytes: Vec<u8>) {
+        lock(&self.uploads).insert(key.to_owned(), bytes);
+    }
+
+    pub(super) fn count_measurement(&self) {
+        lock(&self.measurements).push(Instant::now());
+    }
+
+    pub(super) fn count_cut_upload(&self) {
+        self.cut_uploads.fetch_add(1, Ordering::SeqCst);
+    }
+
+    pub(super) fn count_late(&self) {
+        self.late.fetch_add(1, Ordering::SeqCst);
+    }
+
+    pub(super) fn begin(&self) {
+        self.requests.fetch_add(1, Ordering::SeqCst);
+        let now = self.in_flight.fetch_add(1, Ordering::SeqCst) + 1;
+        self.peak.fetch_max(now, Ordering::SeqCst);
+    }
+
+    pub(super) fn end(&self) {
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().expect("no thread panics with the record")
+}
--- /dev/null
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -0,0 +1,167 @@
+//! The gate's state: what runs at the upstream beside this daemon.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use mustardtiller_core::Instant;
+use mustardtiller_core::LimiterWindow;
+use mustardtiller_wire::LoadReport;
+
+use crate::board::CallerUses;
+use crate::board::Snapshot;
+
+/// The gate's state.
+///
+/// `limit` is written by the limiter controller, the leaving flags by the
+/// leave controller, `waiting` by the admission controller; requests count
+/// themselves in and out.
+#[derive(Debug)]
+pub struct GateState {
+    /// Callers and what they use.
+    pub callers: Snapshot<CallerUses>,
+    in_flight: AtomicU32,
+    waiting: AtomicU32,
+    limit: AtomicU32,
+    leaving: AtomicBool,
+    listed_leaving: AtomicBool,
+    warm_from: AtomicU64,
+    warm_at: AtomicU64,
+    completed: AtomicU64,
+    total_micros: AtomicU64,
+    shed: AtomicU64,
+    peak_in_flight: AtomicU32,
+}
+
+impl GateState {
+    /// Start with one slot, until a configuration tells the slots.
+    #[must_use]
+    pub fn new(warm_from: Instant, warm_at: Instant) -> Self {
+        Self {
+            callers: Snapshot::new(CallerUses::default()),
+            in_flight: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            limit: AtomicU32::new(1),
+            leaving: AtomicBool::new(false),
+            listed_leaving: AtomicBool::new(false),
+            warm_from: AtomicU64::new(warm_from.as_micros()),
+            warm_at: AtomicU64::new(warm_at.as_micros()),
+            completed: AtomicU64::new(0),
+            total_micros: AtomicU64::new(0),
+            shed: AtomicU64::new(0),
+            peak_in_flight: AtomicU32::new(0),
+        }
+    }
+
+    /// Take a slot if one is free.
+    pub fn try_take(&self) -> bool {
+        let limit = self.limit.load(Ordering::SeqCst);
+        let taken = self
+            .in_flight
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| {
+                (n < limit).then_some(n + 1)
+            });
+        if let Ok(before) = taken {
+            self.peak_in_flight.fetch_max(before + 1, Ordering::Relaxed);
+        }
+        taken.is_ok()
+    }
+
+    /// Give a slot back.
+    pub fn give_back(&self) {
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    /// Return the requests that run.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Return the requests that wait for a slot.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::SeqCst)
+    }
+
+    /// Record the requests that wait. For the admission controller.
+    pub fn add_waiting(&self, number: u32) {
+        self.waiting.fetch_add(number, Ordering::SeqCst);
+    }
+
+    /// Record requests that wait no longer. For the admission controller.
+    pub fn sub_waiting(&self, number: u32) {
+        self.waiting.fetch_sub(number, Ordering::SeqCst);
+    }
+
+    /// Set the limit. For the limiter controller.
+    pub fn set_limit(&self, limit: u32) {
+        self.limit.store(limit.max(1), Ordering::SeqCst);
+    }
+
+    /// Return the limit.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit.load(Ordering::SeqCst)
+    }
+
+    /// Record whether the upstream says that it leaves. Returns the old value.
+    pub fn set_leaving(&self, leaving: bool) -> bool {
+        self.leaving.swap(leaving, Ordering::SeqCst)
+    }
+
+    /// Record whether the host list has the upstream leaving. Returns the old value.
+    pub fn set_listed_leaving(&self, leaving: bool) -> bool {
+        self.listed_leaving.swap(leaving, Ordering::SeqCst)
+    }
+
+    /// Report whether the upstream takes no new work.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst) || self.listed_leaving.load(Ordering::SeqCst)
+    }
+
+    /// Start the ramp of a cold upstream.
+    pub fn warm_up(&self, from: Instant, at: Instant) {
+        self.warm_from.store(from.as_micros(), Ordering::Relaxed);
+        self.warm_at.store(at.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Record a request that the upstream completed.
+    pub fn completed(&self, micros: u64, shed: bool) {
+        self.completed.fetch_add(1, Ordering::Relaxed);
+        self.total_micros.fetch_add(micros, Ordering::Relaxed);
+        self.shed.fetch_add(u64::from(shed), Ordering::Relaxed);
+    }
+
+    /// Take what was seen since the last call. For the limiter controller.
+    pub fn take_window(&self) -> LimiterWindow {
+        let in_flight = self.in_flight();
+        LimiterWindow {
+            completed: self.completed.swap(0, Ordering::Relaxed),
+            total_micros: self.total_micros.swap(0, Ordering::Relaxed),
+            peak_in_flight: self.peak_in_flight.swap(in_flight, Ordering::Relaxed),
+            shed: self.shed.swap(0, Ordering::Relaxed),
+        }
+    }
+
+    /// Return the load to report to entries.
+    #[must_use]
+    pub fn report(&self, now: Instant, closing: bool) -> LoadReport {
+        LoadReport {
+            in_flight: self.in_flight() + self.waiting(),
+            limit: self.limit(),
+            ramp_milli: self.ramp_milli(now),
+            leaving: closing || self.is_leaving(),
+        }
+    }
+
+    fn ramp_milli(&self, now: Instant) -> u16 {
+        let from = self.warm_from.load(Ordering::Relaxed);
+        let at = self.warm_at.load(Ordering::Relaxed);
+        let gone = now.as_micros().saturating_sub(from);
+        let whole = at.saturating_sub(from).max(1);
+        (gone * 1_000 / whole).clamp(100, 1_000) as u16
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/board/signals.rs
@@ -0,0 +1,190 @@
+//! What an entry hears of one upstream, as atomics.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use mustardtiller_core::ErrorRate;
+use mustardtiller_core::Instant;
+use mustardtiller_core::Sample;
+use mustardtiller_core::Standing;
+use mustardtiller_wire::LoadReport;
+
+/// Weight of one answer in the smoothed latency, as a divisor.
+const LATENCY_DIVISOR: u32 = 8;
+
+/// Latency assumed before the first answer, in microseconds.
+const FIRST_LATENCY_MICROS: u32 = 1_000;
+
+/// What an entry knows of one upstream.
+///
+/// Written by whoever hears something, each field on its own: a reader may see
+/// fields of two reports, which is no worse than a report that is a little
+/// older. The rest fields are written by the health controller alone.
+#[derive(Debug)]
+pub struct Signals {
+    outstanding: AtomicU32,
+    reported: AtomicU32,
+    reported_at: AtomicU64,
+    outstanding_at_report: AtomicU32,
+    slots: AtomicU32,
+    ramp_milli: AtomicU32,
+    leaving: AtomicBool,
+    latency_micros: AtomicU32,
+    latency_at: AtomicU64,
+    error_milli: AtomicU32,
+    error_at: AtomicU64,
+    rest_until: AtomicU64,
+    rests: AtomicU32,
+    listed_leaving: AtomicBool,
+}
+
+impl Signals {
+    /// Start for an upstream with `slots` of which nothing was heard.
+    #[must_use]
+    pub const fn new(slots: u32) -> Self {
+        Self {
+            outstanding: AtomicU32::new(0),
+            reported: AtomicU32::new(0),
+            reported_at: AtomicU64::new(0),
+            outstanding_at_report: AtomicU32::new(0),
+            slots: AtomicU32::new(slots),
+            ramp_milli: AtomicU32::new(1_000),
+            leaving: AtomicBool::new(false),
+            latency_micros: AtomicU32::new(FIRST_LATENCY_MICROS),
+            latency_at: AtomicU64::new(0),
+            error_milli: AtomicU32::new(0),
+            error_at: AtomicU64::new(0),
+            rest_until: AtomicU64::new(0),
+            rests: AtomicU32::new(0),
+            listed_leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Record that a request goes to the upstream.
+    pub fn began(&self) {
+        self.outstanding.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Record that a request has left the upstream.
+    pub fn ended(&self) {
+        self.outstanding.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Record the load that the gate reported.
+    pub fn heard(&self, load: LoadReport, now: Instant) {
+        let outstanding = self.outstanding.load(Ordering::Relaxed);
+        self.outstanding_at_report
+            .store(outstanding, Ordering::Relaxed);
+        self.reported.store(load.in_flight, Ordering::Relaxed);
+        self.reported_at.store(now.as_micros(), Ordering::Relaxed);
+        self.slots.store(load.limit.max(1), Ordering::Relaxed);
+        self.ramp_milli
+            .store(u32::from(load.ramp_milli), Ordering::Relaxed);
+        self.leaving.store(load.leaving, Ordering::Relaxed);
+    }
+
+    /// Record the time an answer took, and whether it was an error.
+    ///
+    /// Returns the error rate after it.
+    pub fn answered(&self, micros: u64, error: bool, now: Instant) -> ErrorRate {
+        if !error {
+            self.smooth_latency(micros.min(u64::from(u32::MAX)) as u32, now);
+        }
+        self.count_error(error, now)
+    }
+
+    /// Record an attempt that failed without an answer.
+    pub fn failed(&self, now: Instant) -> ErrorRate {
+        self.count_error(true, now)
+    }
+
+    /// Record whether the host list has the upstream leaving.
+    pub fn set_listed_leaving(&self, leaving: bool) {
+        self.listed_leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Report whether the upstream is known to be leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed) || self.listed_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Return the smoothed latency, in microseconds.
+    #[must_use]
+    pub fn latency_micros(&self) -> u32 {
+        self.latency_micros.load(Ordering::Relaxed)
+    }
+
+    /// Return the smoothed error rate.
+    #[must_use]
+    pub fn error_rate(&self) -> ErrorRate {
+        ErrorRate::from_milli(self.error_milli.load(Ordering::Relaxed))
+    }
+
+    /// Return how often the upstream has rested.
+    #[must_use]
+    pub fn rests(&self) -> u32 {
+        self.rests.load(Ordering::Relaxed)
+    }
+
+    /// Let the upstream rest until an instant. For the health controller.
+    pub fn rest_until(&self, until: Instant) {
+        self.rests.fetch_add(1, Ordering::Relaxed);
+        self.rest_until.store(until.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Report whether the upstream rests at `now`.
+    #[must_use]
+    pub fn is_resting(&self, now: Instant) -> bool {
+        now.as_micros() < self.rest_until.load(Ordering::Relaxed)
+    }
+
+    /// Read everything for a choice. `open` tells whether a link is up.
+    #[must_use]
+    pub fn sample(&self, open: bool, price_micros: u32, now: Instant) -> Sample {
+        let age = |at: &AtomicU64| now.as_micros().saturating_sub(at.load(Ordering::Relaxed));
+        Sample {
+            standing: self.standing(open, now),
+            reported: self.reported.load(Ordering::Relaxed),
+            report_age_micros: age(&self.reported_at),
+            outstanding: self.outstanding.load(Ordering::Relaxed),
+            outstanding_at_report: self.outstanding_at_report.load(Ordering::Relaxed),
+            slots: self.slots.load(Ordering::Relaxed),
+            latency_micros: self.latency_micros.load(Ordering::Relaxed),
+            latency_age_micros: age(&self.latency_at),
+            error_milli: self.error_milli.load(Ordering::Relaxed),
+            error_age_micros: age(&self.error_at),
+            ramp_milli: self.ramp_milli.load(Ordering::Relaxed),
+            price_micros,
+        }
+    }
+
+    fn standing(&self, open: bool, now: Instant) -> Standing {
+        if !open || self.is_leaving() {
+            Standing::Closed
+        } else if self.is_resting(now) {
+            Standing::Ejected
+        } else {
+            Standing::Live
+        }
+    }
+
+    fn smooth_latency(&self, micros: u32, now: Instant) {
+        let old = self.latency_micros.load(Ordering::Relaxed);
+        let step = old.abs_diff(micros).div_ceil(LATENCY_DIVISOR);
+        let new = if micros > old { old + step } else { old - step };
+        self.latency_micros.store(new, Ordering::Relaxed);
+        self.latency_at.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    fn count_error(&self, error: bool, now: Instant) -> ErrorRate {
+        let rate = self.error_rate().after(error);
+        self.error_milli.store(rate.as_milli(), Ordering::Relaxed);
+        if error {
+            self.error_at.store(now.as_micros(), Ordering::Relaxed);
+        }
+        rate
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/body/mod.rs
@@ -0,0 +1,7 @@
+//! Bodies that arrive in pieces.
+
+mod pieces;
+
+pub use pieces::BodyCut;
+pub use pieces::PieceSource;
+pub use pieces::next_piece;
--- /dev/null
+++ b/crates/mustardtiller/src/clock/mod.rs
@@ -0,0 +1,5 @@
+//! The process's monotonic clock.
+
+mod monotonic;
+
+pub use monotonic::Clock;
--- /dev/null
+++ b/crates/mustardtiller/src/controllers/health.rs
@@ -0,0 +1,43 @@
+//! Lets upstreams rest that fail too often.
+
+use std::sync::Arc;
+
+use mustardtiller_core::Instant;
+use mustardtiller_core::may_eject;
+
+use crate::board::Candidate;
+use crate::board::ServiceRoutes;
+use crate::daemon::Node;
+use crate::events::Event;
+use crate::metrics::Counted;
+
+/// Look at error rates whenever a request has found one high.
+pub async fn control_health(node: Arc<Node>) {
+    loop {
+        let unhealthy = node.board.unhealthy.listen();
+        let routes = node.board.routes.share();
+        let now = node.clock.now();
+        for service in routes.services.values() {
+            rest_failing(&node, service, now);
+        }
+        unhealthy.await;
+    }
+}
+
+fn rest_failing(node: &Node, service: &ServiceRoutes, now: Instant) {
+    let rule = service.ejection();
+    let is_resting = |candidate: &&Arc<Candidate>| candidate.signals.is_resting(now);
+    let mut resting = service.candidates.iter().filter(is_resting).count();
+    for candidate in service.candidates.iter().filter(|c| !is_resting(c)) {
+        let signals = &candidate.signals;
+        let failing = signals.error_rate().as_milli() >= rule.threshold_milli;
+        if !failing || !may_eject(&rule, service.candidates.len(), resting) {
+            continue;
+        }
+        resting += 1;
+        let until = rule.rest_until(signals.rests(), now);
+        signals.rest_until(until.instant());
+        node.metrics.count(Counted::Ejections);
+        Event::UpstreamEjected.log(&candidate.upstream.name);
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/controllers/limiter.rs
@@ -0,0 +1,38 @@
+//! Moves the gate's limit with the upstream's latency.
+
+use std::sync::Arc;
+
+use mustardtiller_core::Limiter;
+use mustardtiller_core::LimiterBounds;
+use smol::future;
+
+use crate::daemon::Node;
+
+/// Time between two steps, in milliseconds.
+const STEP_MS: u64 = 100;
+
+/// Share of the slots below which the limit does not fall, as a divisor.
+const FLOOR_DIVISOR: u32 = 2;
+
+/// Keep the gate's limit.
+pub async fn control_limiter(node: Arc<Node>) {
+    let mut limiter = Limiter::new(LimiterBounds { floor: 1, slots: 1 });
+    let mut slots = 0;
+    loop {
+        let changed = node.limits_changed.listen();
+        if let Some(upstream) = node.own_upstream()
+            && upstream.slots != slots
+        {
+            slots = upstream.slots;
+            let floor = (slots / FLOOR_DIVISOR).max(1);
+            limiter = Limiter::new(LimiterBounds { floor, slots });
+        }
+        let before = node.board.gate.limit();
+        let limit = limiter.step(node.board.gate.take_window());
+        node.board.gate.set_limit(limit);
+        if limit > before {
+            node.admission.wake();
+        }
+        future::or(changed, node.clock.sleep_millis(STEP_MS)).await;
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/controllers/links.rs
@@ -0,0 +1,47 @@
+//! Watches every link for silence.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use mustardtiller_core::SilenceEffect;
+use mustardtiller_core::SilenceRule;
+use mustardtiller_core::SilenceWatch;
+
+use crate::daemon::Node;
+use crate::events::Event;
+use crate::metrics::Counted;
+
+/// Time between two rounds, in milliseconds.
+const ROUND_MS: u64 = 250;
+
+/// Look at every link once a round.
+pub async fn control_links(node: Arc<Node>) {
+    let rule = SilenceRule::default();
+    let mut watches: HashMap<usize, SilenceWatch> = HashMap::new();
+    loop {
+        node.clock.sleep_millis(ROUND_MS).await;
+        let now = node.clock.now();
+        let mut next = HashMap::with_capacity(watches.len());
+        let routes = node.board.routes.share();
+        let services = routes.services.values();
+        for candidate in services.flat_map(|s| s.candidates.iter().chain(&s.others)) {
+            let Some(link) = candidate.slot.get() else {
+                continue;
+            };
+            let mut watch = watches
+                .remove(&Arc::as_ptr(&link).addr())
+                .unwrap_or_default();
+            match watch.step(&rule, link.open_streams(), link.frames()) {
+                SilenceEffect::Nothing => {}
+                SilenceEffect::Ask => link.ping(now),
+                SilenceEffect::Close => {
+                    node.metrics.count(Counted::LinksSilent);
+                    Event::LinkSilent.log(&candidate.upstream.name);
+                    link.close_silent();
+                }
+            }
+            next.insert(Arc::as_ptr(&link).addr(), watch);
+        }
+        watches = next;
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/controllers/mod.rs
@@ -0,0 +1,19 @@
+//! The controllers: each writes its section of the board, and no other does.
+
+mod configuration;
+mod health;
+mod hosts;
+mod leave;
+mod limiter;
+mod links;
+mod routes;
+mod stop;
+
+pub use configuration::control_configuration;
+pub use health::control_health;
+pub use hosts::control_hosts;
+pub use leave::control_leave;
+pub use limiter::control_limiter;
+pub use links::control_links;
+pub use routes::control_routes;
+pub use stop::control_stop;
--- /dev/null
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -0,0 +1,185 @@
+//! Derives routes from the configuration and the host list.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use mustardtiller_config::Configuration;
+use mustardtiller_config::Service;
+use mustardtiller_config::Upstream;
+use mustardtiller_core::HostList;
+use mustardtiller_core::MemberState;
+use mustardtiller_core::RetryBudget;
+use mustardtiller_core::UpstreamName;
+use mustardtiller_core::subset;
+use smol::future;
+
+use crate::board::Candidate;
+use crate::board::Routes;
+use crate::board::ServiceRoutes;
+use crate::board::Signals;
+use crate::daemon::Node;
+use crate::events::Event;
+use crate::link::LinkSlot;
+
+/// Retries or hedges that one service may store.
+const BUDGET_CAP: u32 = 10;
+
+/// Time for requests on a link to end before it is closed, in milliseconds.
+const RETIRE_MS: u64 = 600_000;
+
+/// Time between two looks at a link that is to be closed, in milliseconds.
+const RETIRE_LOOK_MS: u64 = 100;
+
+/// Keep the routes in step with the configuration and the host list.
+pub async fn control_routes(node: Arc<Node>) {
+    loop {
+        let configured = node.board.configuration.listen();
+        let listed = node.board.hosts.listen();
+        let configuration = node.board.configuration.share();
+        if let Some(configuration) = configuration.as_ref() {
+            update(&node, configuration);
+        }
+        future::or(configured, listed).await;
+    }
+}
+
+fn update(node: &Arc<Node>, configuration: &Configuration) {
+    let hosts = node.board.hosts.share();
+    let old = node.board.routes.share();
+    let new = derive(node, configuration, &hosts, &old);
+    let new = Arc::new(new);
+    node.board.routes.publish(Arc::clone(&new));
+    retire_gone(node, &old, &new);
+    update_callers(node, configuration);
+    if node.own_upstream().is_none() {
+        Event::NotConfigured.log(&node.board.identity.upstream);
+    }
+    node.limits_changed.notify(1);
+}
+
+fn derive(
+    node: &Arc<Node>,
+    configuration: &Configuration,
+    hosts: &HostList,
+    old: &Routes,
+) -> Routes {
+    let mut routes = Routes::default();
+    for service in configuration.services() {
+        let before = old.services.get(&service.name);
+        let derived = derive_service(node, configuration, service, hosts, before);
+        let derived = Arc::new(derived);
+        for host in &service.hosts {
+            routes.hosts.insert(Arc::clone(host), Arc::clone(&derived));
+        }
+        routes.services.insert(service.name.clone(), derived);
+    }
+    routes
+}
+
+fn derive_service(
+    node: &Arc<Node>,
+    configuration: &Configuration,
+    service: &Arc<Service>,
+    hosts: &HostList,
+    before: Option<&Arc<ServiceRoutes>>,
+) -> ServiceRoutes {
+    let names: Vec<&UpstreamName> = service.upstreams.iter().map(|u| &u.name).collect();
+    let me = node.board.identity.upstream.as_str();
+    let chosen = subset(me, &names, service.subset as usize);
+    let mut candidates = Vec::with_capacity(chosen.len());
+    let mut others = Vec::new();
+    for (index, upstream) in service.upstreams.iter().enumerate() {
+        let candidate = derive_candidate(node, configuration, service, upstream, before);
+        let leaving = hosts.state_of(&upstream.name) == Some(MemberState::Leaving);
+        candidate.signals.set_listed_leaving(leaving);
+        if chosen.binary_search(&index).is_ok() {
+            candidates.push(candidate);
+        } else {
+            others.push(candidate);
+        }
+    }
+    let budget = || Arc::new(RetryBudget::new(BUDGET_CAP));
+    let routes = ServiceRoutes {
+        service: Arc::clone(service),
+        candidates,
+        others,
+        retries: before.map_or_else(budget, |before| Arc::clone(&before.retries)),
+        hedges: before.map_or_else(budget, |before| Arc::clone(&before.hedges)),
+    };
+    if node.calls_at_once(service.name.as_str()) {
+        node.want_links(&routes);
+    }
+    routes
+}
+
+/// Carry over signals and link of an upstream that stays where it is.
+fn derive_candidate(
+    node: &Node,
+    configuration: &Configuration,
+    service: &Service,
+    upstream: &Arc<Upstream>,
+    before: Option<&Arc<ServiceRoutes>>,
+) -> Arc<Candidate> {
+    let here = &node.board.identity.place;
+    let path = configuration.path(here, &upstream.place);
+    let price_micros = path.map_or(0, |path| path.delay_micros * 2 + path.price_micros);
+    let known = before
+        .and_then(|before| before.find(&upstream.name))
+        .filter(|known| known.upstream.link == upstream.link);
+    let signals = known.map_or_else(
+        || Arc::new(Signals::new(upstream.slots)),
+        |known| Arc::clone(&known.signals),
+    );
+    let slot = known.map_or_else(
+        || Arc::new(LinkSlot::new()),
+        |known| Arc::clone(&known.slot),
+    );
+    Arc::new(Candidate {
+        upstream: Arc::clone(upstream),
+        service: service.name.clone(),
+        price_micros,
+        signals,
+        slot,
+    })
+}
+
+/// Close the links of upstreams that are gone, once nothing is on them.
+fn retire_gone(node: &Arc<Node>, old: &Routes, new: &Routes) {
+    let kept: HashSet<usize> = all(new)
+        .map(|candidate| Arc::as_ptr(&candidate.slot).addr())
+        .collect();
+    for candidate in all(old) {
+        if !kept.contains(&Arc::as_ptr(&candidate.slot).addr()) {
+            let retiring = retire(Arc::clone(node), Arc::clone(candidate));
+            node.spawn(retiring);
+        }
+    }
+}
+
+fn all(routes: &Routes) -> impl Iterator<Item = &Arc<Candidate>> {
+    let services = routes.services.values();
+    services.flat_map(|service| service.candidates.iter().chain(&service.others))
+}
+
+async fn retire(node: Arc<Node>, candidate: Arc<Candidate>) {
+    for _ in 0..RETIRE_MS / RETIRE_LOOK_MS {
+        match candidate.slot.get() {
+            Some(link) if link.open_streams() > 0 => {
+                node.clock.sleep_millis(RETIRE_LOOK_MS).await;
+            }
+            _ => break,
+        }
+    }
+    candidate.slot.retire();
+}
+
+fn update_callers(node: &Node, configuration: &Configuration) {
+    let callers: Vec<_> = configuration
+        .fleet
+        .callers
+        .iter()
+        .map(|caller| (caller.name.clone(), caller.share))
+        .collect();
+    let next = node.board.gate.callers.read().next(&callers);
+    node.board.gate.callers.publish(Arc::new(next));
+}
--- /dev/null
+++ b/crates/mustardtiller/src/daemon/mod.rs
@@ -0,0 +1,9 @@
+//! The parts of a daemon, joined.
+
+mod node;
+mod run;
+
+pub use node::Node;
+pub use node::NodeParts;
+pub use run::Daemon;
+pub use run::StartError;
--- /dev/null
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -0,0 +1,182 @@
+//! What every part of one daemon shares.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use event_listener::Event as Signal;
+use mustardtiller_config::Upstream;
+use mustardtiller_wire::LoadReport;
+use smol::Executor;
+use smol::Task;
+
+use crate::board::Board;
+use crate::board::Phase;
+use crate::board::ServiceRoutes;
+use crate::clock::Clock;
+use crate::events::Event;
+use crate::gate::AdmissionDesk;
+use crate::gate::LedgerDesk;
+use crate::link::keep_link;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::upstream::UpstreamPool;
+
+/// Odd number that spreads seeds (2^64 divided by the golden ratio).
+const SEED_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// What a node is made of.
+#[derive(Debug)]
+pub struct NodeParts {
+    /// The blackboard.
+    pub board: Board,
+    /// The clock.
+    pub clock: Clock,
+    /// The counters.
+    pub metrics: Arc<Metrics>,
+    /// The settings.
+    pub settings: Settings,
+    /// The executor that runs every task.
+    pub executor: Arc<Executor<'static>>,
+    /// The seed of every random choice.
+    pub seed: u64,
+}
+
+/// What every part of one daemon shares.
+pub struct Node {
+    /// The blackboard.
+    pub board: Board,
+    /// The clock.
+    pub clock: Clock,
+    /// The counters.
+    pub metrics: Arc<Metrics>,
+    /// The settings.
+    pub settings: Settings,
+    /// Where requests ask for slots of the upstream.
+    pub admission: AdmissionDesk,
+    /// Where requests with tokens are presented.
+    pub ledger: LedgerDesk,
+    /// Connections to the upstream.
+    pub pool: UpstreamPool,
+    /// Notified when the configured slots may have changed.
+    pub limits_changed: Signal,
+    executor: Arc<Executor<'static>>,
+    seed: AtomicU64,
+    sequence: AtomicU64,
+}
+
+impl Node {
+    /// Join the parts.
+    #[must_use]
+    pub fn new(parts: NodeParts) -> Self {
+        Self {
+            board: parts.board,
+            clock: parts.clock,
+            metrics: parts.metrics,
+            settings: parts.settings,
+            admission: AdmissionDesk::new(),
+            ledger: LedgerDesk::new(),
+            pool: UpstreamPool::new(),
+            limits_changed: Signal::new(),
+            executor: parts.executor,
+            seed: AtomicU64::new(parts.seed),
+            sequence: AtomicU64::new(0),
+        }
+    }
+
+    /// Run a task to its end in the background.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Run a task that ends when its handle is dropped.
+    pub fn spawn_task(&self, task: impl Future<Output = ()> + Send + 'static) -> Task<()> {
+        self.executor.spawn(task)
+    }
+
+    /// Return a generator for one use, without a lock.
+    pub fn rng(&self) -> fastrand::Rng {
+        let seed = self.seed.fetch_add(SEED_STEP, Ordering::Relaxed);
+        fastrand::Rng::with_seed(seed)
+    }
+
+    /// Return the next number of this process's tokens.
+    pub fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Return the object of the upstream beside this daemon.
+    #[must_use]
+    pub fn own_upstream(&self) -> Option<Arc<Upstream>> {
+        let configuration = self.board.configuration.read();
+        let configuration = configuration.as_ref().as_ref()?;
+        let (_, upstream) = configuration.upstream(&self.board.identity.upstream)?;
+        Some(Arc::clone(upstream))
+    }
+
+    /// Return the budget for measuring the upstream, in thousandths a second.
+    #[must_use]
+    pub fn own_measure_budget(&self) -> u64 {
+        let configuration = self.board.configuration.read();
+        let own = configuration
+            .as_ref()
+            .as_ref()
+            .and_then(|c| c.upstream(&self.board.identity.upstream));
+        own.map_or(0, |(service, _)| service.measure_milli_per_second)
+    }
+
+    /// Report whether the gate takes no new work.
+    #[must_use]
+    pub fn refuses_new_work(&self) -> bool {
+        self.board.gate.is_leaving() || self.board.phase.read() >= Phase::Draining
+    }
+
+    /// Return the load to report to entries.
+    #[must_use]
+    pub fn report(&self) -> LoadReport {
+        let closing = self.board.phase.read() >= Phase::Withdrawn;
+        self.board.gate.report(self.clock.now(), closing)
+    }
+
+    /// Note whether the upstream says that it leaves.
+    pub fn note_leaving(&self, leaving: bool, source: &str) {
+        if self.board.gate.set_leaving(leaving) != leaving {
+            self.log_leaving(leaving, source);
+        }
+    }
+
+    /// Log a change of the upstream's leaving, and wake who waits for a slot.
+    pub fn log_leaving(&self, leaving: bool, source: &str) {
+        if leaving {
+            Event::UpstreamLeaving.log(source);
+        } else {
+            Event::UpstreamBack.log(source);
+        }
+        self.admission.wake();
+    }
+
+    /// Report whether links to a service are made before its first request.
+    #[must_use]
+    pub fn calls_at_once(&self, service: &str) -> bool {
+        self.settings.calls.iter().any(|name| name == service)
+    }
+
+    /// Make the links of a service, if they are not made yet.
+    pub fn want_links(self: &Arc<Self>, routes: &ServiceRoutes) {
+        for candidate in &routes.candidates {
+            if candidate.slot.claim() {
+                let keeping = keep_link(Arc::clone(self), Arc::clone(candidate));
+                self.spawn(keeping);
+            }
+        }
+    }
+}
+
+impl fmt::Debug for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Node")
+            .field("identity", &self.board.identity)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -0,0 +1,227 @@
+//! A daemon from its settings to its end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_channel::bounded;
+use event_listener::Event as Signal;
+use mustardtiller_core::HostList;
+use mustardtiller_core::Incarnation;
+use smol::Executor;
+use smol::net::TcpListener;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::board::Board;
+use crate::board::GateState;
+use crate::board::Identity;
+use crate::board::Phase;
+use crate::board::PhaseCell;
+use crate::board::Routes;
+use crate::board::Snapshot;
+use crate::clock::Clock;
+use crate::controllers;
+use crate::daemon::Node;
+use crate::daemon::NodeParts;
+use crate::events::Event;
+use crate::front::serve_callers;
+use crate::gate::control_admission;
+use crate::gate::control_ledger;
+use crate::gossip::GossipSocket;
+use crate::link::serve_links;
+use crate::metrics::Metrics;
+use crate::metrics::serve_metrics;
+use crate::platform::HttpPlatform;
+use crate::platform::PlatformSource;
+use crate::settings::Settings;
+
+/// Why a daemon did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[snafu(display("{what} {address}: {source}"))]
+    Bind {
+        /// What the address is for.
+        what: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A thread could not be started.
+    #[snafu(display("thread: {source}"))]
+    Thread {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Arc<Node>,
+    executor: Arc<Executor<'static>>,
+    end: Sender<()>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Start a daemon with a random incarnation.
+    ///
+    /// `random` must be fresh for every process: it names this incarnation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address is taken or a thread can't be started.
+    pub fn start(settings: Settings, random: u128) -> Result<Self, StartError> {
+        let clock = Clock::start();
+        let platform = Arc::new(HttpPlatform::new(settings.platform, clock));
+        Self::start_with(settings, random, clock, platform)
+    }
+
+    /// Start a daemon that reads another platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address is taken or a thread can't be started.
+    pub fn start_with(
+        settings: Settings,
+        random: u128,
+        clock: Clock,
+        platform: Arc<dyn PlatformSource>,
+    ) -> Result<Self, StartError> {
+        let executor = Arc::new(Executor::new());
+        let threads = settings.threads;
+        let node = Arc::new(new_node(settings, random, clock, Arc::clone(&executor)));
+        smol::block_on(spawn_all(&node, platform))?;
+        let (end, ended) = bounded(1);
+        let threads = (0..threads)
+            .map(|index| spawn_worker(index, Arc::clone(&executor), ended.clone()))
+            .collect::<Result<Vec<_>, _>>()?;
+        Event::Started.log(format_args!(
+            "{} at {}, incarnation {}",
+            node.board.identity.upstream,
+            node.board.identity.place,
+            node.board.identity.incarnation
+        ));
+        Ok(Self {
+            node,
+            executor,
+            end,
+            threads,
+        })
+    }
+
+    /// Return the node, to embed more around it.
+    #[must_use]
+    pub const fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Ask the daemon to stop once it is empty.
+    pub fn ask_stop(&self) {
+        self.node.board.phase.advance(Phase::Withdrawn);
+    }
+
+    /// Wait until the daemon has stopped, and end its threads.
+    pub fn join(self) {
+        smol::block_on(
+            self.executor
+                .run(self.node.board.phase.reached(Phase::Stopped)),
+        );
+        Event::Stopped.log(&self.node.board.identity.upstream);
+        self.end.close();
+        for thread in self.threads {
+            // A worker ends by return; its panic has stopped the process.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn new_node(
+    settings: Settings,
+    random: u128,
+    clock: Clock,
+    executor: Arc<Executor<'static>>,
+) -> Node {
+    let identity = Identity {
+        upstream: settings.upstream.clone(),
+        place: settings.place.clone(),
+        incarnation: Incarnation(random),
+    };
+    let now = clock.now();
+    let warm_at = now.plus_micros(settings.ramp_ms * 1_000);
+    let board = Board {
+        identity,
+        configuration: Snapshot::new(None),
+        artefact: Snapshot::new(None),
+        hosts: Snapshot::new(HostList::default()),
+        routes: Snapshot::new(Routes::default()),
+        gate: GateState::new(now, warm_at),
+        phase: PhaseCell::new(),
+        unhealthy: Signal::new(),
+    };
+    Node::new(NodeParts {
+        board,
+        clock,
+        metrics: Arc::new(Metrics::new()),
+        settings,
+        executor,
+        seed: random as u64,
+    })
+}
+
+async fn spawn_all(node: &Arc<Node>, platform: Arc<dyn PlatformSource>) -> Result<(), StartError> {
+    let settings = &node.settings;
+    // The link comes first: who holds it is the one daemon of this upstream.
+    let links = bind("link", settings.link).await?;
+    let gossip = GossipSocket::bind(settings.link, Arc::clone(&node.metrics)).await;
+    let gossip = gossip.context(BindSnafu {
+        what: "gossip",
+        address: settings.link,
+    })?;
+    let callers = bind("entry", settings.entry).await?;
+    if let Some(address) = settings.metrics {
+        let listener = bind("metrics", address).await?;
+        node.spawn(serve_metrics(Arc::clone(node), listener));
+    }
+    let hosts = controllers::control_hosts(Arc::clone(node), Arc::clone(&platform));
+    node.spawn(hosts);
+    let gossip = Arc::new(gossip);
+    node.spawn(controllers::control_configuration(
+        Arc::clone(node),
+        gossip,
+        platform,
+    ));
+    node.spawn(controllers::control_routes(Arc::clone(node)));
+    node.spawn(controllers::control_links(Arc::clone(node)));
+    node.spawn(controllers::control_health(Arc::clone(node)));
+    node.spawn(controllers::control_limiter(Arc::clone(node)));
+    node.spawn(controllers::control_leave(Arc::clone(node)));
+    node.spawn(controllers::control_stop(Arc::clone(node)));
+    node.spawn(control_admission(Arc::clone(node)));
+    node.spawn(control_ledger(Arc::clone(node)));
+    node.spawn(serve_links(Arc::clone(node), links));
+    node.spawn(serve_callers(Arc::clone(node), callers));
+    Ok(())
+}
+
+async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address).await;
+    listener.context(BindSnafu { what, address })
+}
+
+fn spawn_worker(
+    index: u64,
+    executor: Arc<Executor<'static>>,
+    ended: Receiver<()>,
+) -> Result<thread::JoinHandle<()>, StartError> {
+    let work = move || {
+        let _ = smol::block_on(executor.run(ended.recv()));
+    };
+    let builder = thread::Builder::new().name(format!("worker-{index}"));
+    builder.spawn(work).context(ThreadSnafu)
+}
--- /dev/null
+++ b/crates/mustardtiller/src/gate/mod.rs
@@ -0,0 +1,17 @@
+//! The gate: the only way into the upstream beside this daemon.
+
+mod admission;
+mod ledger;
+mod request;
+mod run;
+
+pub use admission::AdmissionDesk;
+pub use admission::Permit;
+pub use admission::control_admission;
+pub use ledger::KeptAnswer;
+pub use ledger::LedgerDesk;
+pub use ledger::control_ledger;
+pub use request::GateAnswer;
+pub use request::GateBody;
+pub use request::GateRequest;
+pub use run::run_request;
--- /dev/null
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -0,0 +1,75 @@
+//! Requests and answers at the gate, free of any encoding.
+
+use bytes::Bytes;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Token;
+use mustardtiller_core::Verdict;
+use mustardtiller_wire::AnswerHead;
+use mustardtiller_wire::Header;
+
+use crate::body::PieceSource;
+use crate::upstream::UpstreamBody;
+
+/// A request for the upstream beside this daemon.
+#[derive(Debug)]
+pub struct GateRequest {
+    /// The kind of request.
+    pub kind: String,
+    /// The caller.
+    pub caller: String,
+    /// The caller's share.
+    pub share: u32,
+    /// Whether it goes before ordinary requests.
+    pub urgent: bool,
+    /// The HTTP method.
+    pub method: String,
+    /// The path and query.
+    pub uri: String,
+    /// The headers, end to end ones only.
+    pub headers: Vec<Header>,
+    /// When it stops being wanted, in this process's time.
+    pub deadline: Deadline,
+    /// Its token.
+    pub token: Option<Token>,
+    /// How deep in a tree of calls it is.
+    pub depth: u8,
+    /// It stems from a retry.
+    pub retried: bool,
+    /// Its body.
+    pub body: GateBody,
+}
+
+/// The body of a request.
+#[derive(Debug)]
+pub enum GateBody {
+    /// It is here, whole; may be empty.
+    Whole(Bytes),
+    /// It arrives in pieces.
+    Streamed {
+        /// Its length in bytes, if the caller said it.
+        length: Option<u64>,
+        /// Where the pieces come from.
+        source: Box<dyn PieceSource>,
+    },
+}
+
+/// What the gate answers.
+#[derive(Debug)]
+pub enum GateAnswer {
+    /// The request is refused.
+    Refused(Verdict),
+    /// The upstream's whole answer.
+    Whole {
+        /// The head.
+        head: AnswerHead,
+        /// The body.
+        bytes: Bytes,
+    },
+    /// The upstream's answer, whose body follows.
+    Streamed {
+        /// The head.
+        head: AnswerHead,
+        /// The body.
+        body: UpstreamBody,
+    },
+}
--- /dev/null
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -0,0 +1,94 @@
+//! One request at the gate, from its token to the upstream's answer.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use mustardtiller_core::Attempt;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Presented;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::Token;
+use mustardtiller_core::Unsent;
+use mustardtiller_core::Verdict;
+
+use crate::daemon::Node;
+use crate::gate::GateAnswer;
+use crate::gate::GateBody;
+use crate::gate::GateRequest;
+use crate::gate::KeptAnswer;
+use crate::metrics::Counted;
+use crate::upstream::exchange;
+
+/// Largest answer that is kept for repeats, in bytes.
+const KEPT_ANSWER_BYTES: usize = 8 * 1024;
+
+/// Run a request at the upstream, or refuse it.
+pub async fn run_request(node: &Arc<Node>, req: GateRequest) -> GateAnswer {
+    match req.token.clone() {
+        Some(token) => run_once(node, &token, req).await,
+        None => run(node, Attempt::begin(), req).await,
+    }
+}
+
+/// Run a request with a token unless it ran before.
+async fn run_once(node: &Arc<Node>, token: &Token, req: GateRequest) -> GateAnswer {
+    let digest = digest_of(&req);
+    match node.ledger.present(token.clone(), digest).await {
+        Presented::Run => {
+            let answer = run(node, Attempt::begin(), req).await;
+            record(node, token, &answer);
+            answer
+        }
+        Presented::Before(kept) => {
+            node.metrics.count(Counted::AnswersRepeated);
+            let KeptAnswer { head, bytes } = KeptAnswer::clone(&kept);
+            GateAnswer::Whole { head, bytes }
+        }
+        Presented::Refuse(verdict) => GateAnswer::Refused(verdict),
+    }
+}
+
+fn record(node: &Node, token: &Token, answer: &GateAnswer) {
+    match answer {
+        GateAnswer::Refused(Verdict::NotRun(_)) => node.ledger.void(token.id),
+        GateAnswer::Refused(Verdict::Unknown(reason)) => node.ledger.lose(token.id, *reason),
+        GateAnswer::Whole { head, bytes } if bytes.len() <= KEPT_ANSWER_BYTES => {
+            let kept = KeptAnswer {
+                head: head.clone(),
+                bytes: bytes.clone(),
+            };
+            node.ledger.finish(token.id, Some(Arc::new(kept)));
+        }
+        GateAnswer::Whole { .. } | GateAnswer::Streamed { .. } => {
+            node.ledger.finish(token.id, None);
+        }
+    }
+}
+
+async fn run(node: &Arc<Node>, unsent: Unsent, req: GateRequest) -> GateAnswer {
+    if req.deadline.has_passed(node.clock.now()) {
+        return refused(unsent.refuse(NotRunReason::DeadlinePassed));
+    }
+    let permit = match node.admission.admit(node, &req).await {
+        Ok(permit) => permit,
+        Err(reason) => return refused(unsent.refuse(reason)),
+    };
+    exchange(node, unsent, req, permit).await
+}
+
+fn refused(refusal: impl Into<Refusal>) -> GateAnswer {
+    GateAnswer::Refused(Verdict::from(refusal.into()))
+}
+
+/// Return a digest that tells apart two requests that use one token.
+fn digest_of(req: &GateRequest) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    req.method.hash(&mut hasher);
+    req.uri.hash(&mut hasher);
+    if let GateBody::Whole(bytes) = &req.body {
+        bytes.hash(&mut hasher);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/mustardtiller/src/gossip/mod.rs
@@ -0,0 +1,5 @@
+//! Datagrams between daemons.
+
+mod socket;
+
+pub use socket::GossipSocket;
--- a/crates/mustardtiller/src/lib.rs
+++ b/crates/mustardtiller/src/lib.rs
@@ -1,1 +1,80 @@
-//! x
+//! A load balancer for servers whose load shifts in milliseconds.
+//!
+//! One daemon runs beside each upstream. Its entry takes calls, chooses an
+//! upstream and sends the call to that upstream's daemon, whose gate admits it
+//! and is the only way in. Controllers keep a [`Board`] that every request
+//! reads without a lock.
+//!
+//! The crate can be embedded: [`Daemon`] joins all parts, and [`dispatch`]
+//! runs one [`Call`] for a front end of your own.
+//!
+//! # Examples
+//!
+//! ```
+//! use mustardtiller::Settings;
+//! use mustardtiller::config::Source;
+//!
+//! let text = "
+//! [daemon]
+//! upstream = katalog-1
+//! place = jadran-a
+//! entry = 127.0.0.1:8081
+//! link = 127.0.0.1:9081
+//! [platform]
+//! address = 127.0.0.1:6000
+//! ";
+//! let settings = Settings::read(&Source::new("daemon.ini", text)).unwrap();
+//! assert_eq!(settings.place.as_str(), "jadran-a");
+//! ```
+
+mod board;
+mod body;
+mod clock;
+mod controllers;
+mod daemon;
+mod entry;
+mod events;
+mod front;
+mod gate;
+mod gossip;
+mod link;
+mod metrics;
+mod platform;
+mod settings;
+mod upstream;
+
+pub use board::*;
+pub use body::BodyCut;
+pub use body::PieceSource;
+pub use clock::Clock;
+pub use daemon::Daemon;
+pub use daemon::Node;
+pub use daemon::NodeParts;
+pub use daemon::StartError;
+pub use entry::Answer;
+pub use entry::AnswerPieces;
+pub use entry::Call;
+pub use entry::CallBody;
+pub use entry::Outcome;
+pub use entry::TokenText;
+pub use entry::dispatch;
+pub use entry::mint_token;
+pub use events::Event;
+pub use events::EventLevel;
+pub use events::start_logger;
+pub use gate::AdmissionDesk;
+pub use gate::LedgerDesk;
+pub use link::LinkHandle;
+pub use link::LinkSlot;
+pub use metrics::Counted;
+pub use metrics::Metrics;
+pub use mustardtiller_config as config;
+pub use mustardtiller_core as core;
+pub use mustardtiller_wire as wire;
+pub use platform::HttpPlatform;
+pub use platform::PlatformError;
+pub use platform::PlatformSource;
+pub use platform::PlatformValue;
+pub use platform::parse_hosts;
+pub use settings::Settings;
+pub use upstream::UpstreamPool;
--- /dev/null
+++ b/crates/mustardtiller/src/link/client.rs
@@ -0,0 +1,409 @@
+//! The entry's end of a link.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_channel::unbounded;
+use mustardtiller_core::ClockOffset;
+use mustardtiller_core::ClockSample;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Incarnation;
+use mustardtiller_core::Instant;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Sent;
+use mustardtiller_core::UnknownReason;
+use mustardtiller_core::Unsent;
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::LoadReport;
+use mustardtiller_wire::RequestHead;
+
+use super::credit::SendCredit;
+use super::inbox::Delivery;
+use super::inbox::InboxFeed;
+use super::inbox::inbox;
+use super::outlet::Outlet;
+use super::reader::ReadError;
+use super::reader::SocketReader;
+use super::stream::ClientStream;
+use crate::board::Signals;
+use crate::clock::Clock;
+use crate::metrics::Counted;
+use crate::metrics::Metrics;
+
+/// Streams that one link carries at once.
+const MAX_STREAMS: u32 = 1_024;
+
+/// A stream as the link's reader knows it.
+#[derive(Debug)]
+struct Registration {
+    stream: u32,
+    feed: InboxFeed,
+    credit: Arc<SendCredit>,
+}
+
+/// An attempt that could not be put on the link.
+#[derive(Debug)]
+pub struct OpenError {
+    /// The attempt, of which nothing was sent.
+    pub unsent: Unsent,
+    /// Why.
+    pub reason: NotRunReason,
+}
+
+/// A link that is up, shared by all requests to one upstream's daemon.
+pub struct LinkHandle {
+    outlet: Outlet,
+    registrations: Sender<Registration>,
+    next_stream: AtomicU32,
+    open: AtomicU32,
+    frames: AtomicU64,
+    pings: AtomicU64,
+    ping_at: AtomicU64,
+    silent: AtomicBool,
+    going_away: AtomicBool,
+    gate: Incarnation,
+    offset: ArcSwap<ClockOffset>,
+}
+
+impl LinkHandle {
+    /// Create the handle of a link whose handshake is done.
+    pub(super) fn new(outlet: Outlet, gate: Incarnation, sample: ClockSample) -> (Self, LinkTable) {
+        let (registrations, rx) = unbounded();
+        let mut offset = ClockOffset::default();
+        offset.observe(sample);
+        let handle = Self {
+            outlet,
+            registrations,
+            next_stream: AtomicU32::new(1),
+            open: AtomicU32::new(0),
+            frames: AtomicU64::new(0),
+            pings: AtomicU64::new(0),
+            ping_at: AtomicU64::new(0),
+            silent: AtomicBool::new(false),
+            going_away: AtomicBool::new(false),
+            gate,
+            offset: ArcSwap::from_pointee(offset),
+        };
+        (
+            handle,
+            LinkTable {
+                registrations: rx,
+                streams: HashMap::new(),
+            },
+        )
+    }
+
+    /// Return the incarnation of the gate at the other end.
+    #[must_use]
+    pub const fn gate(&self) -> Incarnation {
+        self.gate
+    }
+
+    /// Return the streams that are open.
+    #[must_use]
+    pub fn open_streams(&self) -> u32 {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Return how many frames have come.
+    #[must_use]
+    pub fn frames(&self) -> u64 {
+        self.frames.load(Ordering::Relaxed)
+    }
+
+    /// Estimate what the gate's clock reads.
+    #[must_use]
+    pub fn gate_now(&self, now: Instant) -> Option<Instant> {
+        self.offset.load().peer_now(now)
+    }
+
+    /// Put a request on the link.
+    ///
+    /// `deadline` is in our time; the frame carries it in the gate's time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the attempt, unsent, if the link is closed or full.
+    pub fn open(
+        self: &Arc<Self>,
+        unsent: Unsent,
+        mut head: RequestHead,
+        deadline: Deadline,
+        now: Instant,
+    ) -> Result<(Sent, ClientStream), OpenError> {
+        let Some(there) = self.offset.load().to_peer(deadline, now) else {
+            return Err(OpenError {
+                unsent,
+                reason: NotRunReason::Unreachable,
+            });
+        };
+        head.deadline_micros = there.instant().as_micros();
+        if self.going_away.load(Ordering::SeqCst) {
+            return Err(OpenError {
+                unsent,
+                reason: NotRunReason::Leaving,
+            });
+        }
+        if self.open.fetch_add(1, Ordering::SeqCst) >= MAX_STREAMS {
+            self.open.fetch_sub(1, Ordering::SeqCst);
+            return Err(OpenError {
+                unsent,
+                reason: NotRunReason::LinkFull,
+            });
+        }
+        let stream = self.register();
+        let frame = Frame::Open {
+            stream: stream.id(),
+            head: Box::new(head),
+        };
+        let sent = unsent.send();
+        match self.outlet.send(frame) {
+            Ok(()) => Ok((sent, stream)),
+            Err(frame) => {
+                let (unsent, _) = sent.unsent(frame);
+                Err(OpenError {
+                    unsent,
+                    reason: NotRunReason::Unreachable,
+                })
+            }
+        }
+    }
+
+    /// Ask the gate for a sign of life, its clock and its load.
+    pub fn ping(&self, now: Instant) {
+        let sequence = self.pings.fetch_add(1, Ordering::SeqCst) + 1;
+        self.ping_at.store(now.as_micros(), Ordering::SeqCst);
+        let _ = self.outlet.send(Frame::Ping { sequence });
+    }
+
+    /// Close the link as silent; what is on it becomes unknown.
+    pub fn close_silent(&self) {
+        self.silent.store(true, Ordering::SeqCst);
+        self.close();
+    }
+
+    /// Close the link; what is on it becomes unknown.
+    pub fn close(&self) {
+        self.registrations.close();
+        self.outlet.close();
+    }
+
+    /// Wait until the link is closed from this side.
+    pub(super) async fn closed(&self) {
+        self.registrations.closed().await;
+    }
+
+    /// Return why requests on the link were lost.
+    pub(super) fn loss(&self) -> UnknownReason {
+        if self.silent.load(Ordering::SeqCst) {
+            UnknownReason::LinkSilent
+        } else {
+            UnknownReason::LinkLost
+        }
+    }
+
+    pub(super) const fn outlet(&self) -> &Outlet {
+        &self.outlet
+    }
+
+    pub(super) fn end_stream(&self) {
+        self.open.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    /// Make a stream known to the reader before its first frame is queued.
+    fn register(self: &Arc<Self>) -> ClientStream {
+        let stream = self.next_stream.fetch_add(1, Ordering::SeqCst);
+        let (feed, inbox) = inbox(stream, self.outlet.clone());
+        let credit = Arc::new(SendCredit::new());
+        let registration = Registration {
+            stream,
+            feed,
+            credit: Arc::clone(&credit),
+        };
+        // A closed table drops the feed, and the stream sees the link as lost.
+        let _ = self.registrations.try_send(registration);
+        ClientStream::new(Arc::clone(self), stream, inbox, credit)
+    }
+
+    fn heard_pong(&self, sequence: u64, peer: Instant, now: Instant) {
+        if sequence != self.pings.load(Ordering::SeqCst) {
+            return;
+        }
+        let sent = Instant::from_micros(self.ping_at.load(Ordering::SeqCst));
+        let mut offset = ClockOffset::clone(&self.offset.load());
+        offset.observe(ClockSample {
+            sent,
+            received: now,
+            peer,
+        });
+        self.offset.store(Arc::new(offset));
+    }
+}
+
+impl fmt::Debug for LinkHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LinkHandle")
+            .field("gate", &self.gate)
+            .field("open", &self.open)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The streams of one link, owned by its reader.
+#[derive(Debug)]
+pub struct LinkTable {
+    registrations: Receiver<Registration>,
+    streams: HashMap<u32, (InboxFeed, Arc<SendCredit>)>,
+}
+
+/// Why a link ended.
+#[derive(Debug)]
+pub enum LinkEnd {
+    /// It was closed from this side.
+    Closed,
+    /// The connection ended or the peer sent what is no frame.
+    Read(ReadError),
+    /// The peer broke the protocol.
+    Broken(&'static str),
+}
+
+impl LinkTable {
+    /// Deliver frames until the link ends; dropping the table ends its streams.
+    pub async fn run(
+        mut self,
+        link: &LinkHandle,
+        reader: &mut SocketReader,
+        signals: &Signals,
+        clock: &Clock,
+        metrics: &Metrics,
+    ) -> LinkEnd {
+        loop {
+            let read = async { Some(reader.next().await) };
+            let closed = async {
+                link.closed().await;
+                None
+            };
+            let frame = match smol::future::or(closed, read).await {
+                None => return LinkEnd::Closed,
+                Some(Err(e)) => return LinkEnd::Read(e),
+                Some(Ok(frame)) => frame,
+            };
+            link.frames.fetch_add(1, Ordering::Relaxed);
+            while let Ok(new) = self.registrations.try_recv() {
+                self.streams.insert(new.stream, (new.feed, new.credit));
+            }
+            if let Some(load) = load_of(&frame) {
+                signals.heard(load, clock.now());
+            }
+            if let Err(wrong) = self.take(frame, link, clock, metrics) {
+                return LinkEnd::Broken(wrong);
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        frame: Frame,
+        link: &LinkHandle,
+        clock: &Clock,
+        metrics: &Metrics,
+    ) -> Result<(), &'static str> {
+        match frame {
+            Frame::Pong {
+                sequence,
+                clock_micros,
+                ..
+            } => {
+                link.heard_pong(sequence, Instant::from_micros(clock_micros), clock.now());
+                Ok(())
+            }
+            Frame::GoAway => {
+                link.going_away.store(true, Ordering::SeqCst);
+                Ok(())
+            }
+            Frame::Credit { stream, bytes } => {
+                if let Some((_, credit)) = self.streams.get(&stream) {
+                    credit.grant(bytes);
+                }
+                Ok(())
+            }
+            Frame::Admitted { stream } => self.deliver(stream, frame, 0, false, metrics),
+            Frame::Refused { stream, .. }
+            | Frame::AnswerEnd { stream }
+            | Frame::AnswerCut { stream }
+            | Frame::Value { stream, .. } => self.deliver(stream, frame, 0, true, metrics),
+            Frame::Answer {
+                stream,
+                ref bytes,
+                last,
+                ..
+            } => {
+                let count = bytes.len();
+                self.deliver(stream, frame, count, last, metrics)
+            }
+            Frame::AnswerData { stream, ref bytes } => {
+                let count = bytes.len();
+                self.deliver(stream, frame, count, false, metrics)
+            }
+            Frame::Hello(_)
+            | Frame::Welcome(_)
+            | Frame::Open { .. }
+            | Frame::Data { .. }
+            | Frame::DataEnd { .. }
+            | Frame::DataCut { .. }
+            | Frame::Cancel { .. }
+            | Frame::Ping { .. }
+            | Frame::Fetch { .. } => Err("a gate sent an entry's frame"),
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        stream: u32,
+        frame: Frame,
+        bytes: usize,
+        last: bool,
+        metrics: &Metrics,
+    ) -> Result<(), &'static str> {
+        let Some((feed, _)) = self.streams.get(&stream) else {
+            return Err("a frame for a stream that was never opened");
+        };
+        let delivery = feed.deliver(frame, bytes);
+        if last {
+            self.streams.remove(&stream);
+        }
+        match delivery {
+            Delivery::Taken => Ok(()),
+            Delivery::Late => {
+                metrics.count(Counted::AnswersLate);
+                Ok(())
+            }
+            Delivery::Overrun => Err("a stream exceeded its window"),
+        }
+    }
+}
+
+impl Drop for LinkTable {
+    fn drop(&mut self) {
+        for (_, credit) in self.streams.values() {
+            credit.close();
+        }
+    }
+}
+
+const fn load_of(frame: &Frame) -> Option<LoadReport> {
+    match frame {
+        Frame::Refused { load, .. } | Frame::Answer { load, .. } | Frame::Pong { load, .. } => {
+            Some(*load)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/link/credit.rs
@@ -0,0 +1,62 @@
+//! How many more bytes of a stream the other end takes.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::Ordering;
+
+use event_listener::Event;
+
+/// Bytes of one stream and direction that may be under way.
+pub const WINDOW_BYTES: i64 = 256 * 1024;
+
+/// Largest piece of a body in one frame, in bytes.
+pub const PIECE_BYTES: usize = 16 * 1024;
+
+/// The sender's view of the receiver's window.
+#[derive(Debug)]
+pub struct SendCredit {
+    left: AtomicI64,
+    closed: AtomicBool,
+    granted: Event,
+}
+
+impl SendCredit {
+    /// Start with a full window.
+    pub const fn new() -> Self {
+        Self {
+            left: AtomicI64::new(WINDOW_BYTES),
+            closed: AtomicBool::new(false),
+            granted: Event::new(),
+        }
+    }
+
+    /// Add bytes that the receiver can take.
+    pub fn grant(&self, bytes: u32) {
+        self.left.fetch_add(i64::from(bytes), Ordering::SeqCst);
+        self.granted.notify(usize::MAX);
+    }
+
+    /// Record that the receiver takes nothing more.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        self.granted.notify(usize::MAX);
+    }
+
+    /// Wait until something may be sent, then spend `bytes`.
+    ///
+    /// May overdraw by one piece, which the receiver allows for. Returns false
+    /// once the receiver takes nothing more.
+    pub async fn spend(&self, bytes: usize) -> bool {
+        loop {
+            let granted = self.granted.listen();
+            if self.closed.load(Ordering::SeqCst) {
+                return false;
+            }
+            if self.left.load(Ordering::SeqCst) > 0 {
+                self.left.fetch_sub(bytes as i64, Ordering::SeqCst);
+                return true;
+            }
+            granted.await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/link/fetch.rs
@@ -0,0 +1,53 @@
+//! Values of the published configuration, fetched from a peer.
+
+use std::net::SocketAddr;
+
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Digest;
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::encode_frame;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+
+use super::handshake;
+use crate::daemon::Node;
+
+/// Fetch values from a peer over a connection of its own.
+///
+/// Returns what the peer had of them, in the order asked.
+pub async fn fetch_values(
+    node: &Node,
+    peer: SocketAddr,
+    digests: &[Digest],
+    deadline: Deadline,
+) -> Vec<Option<Vec<u8>>> {
+    let mut values = vec![None; digests.len()];
+    let fetching = fetch_each(node, peer, digests, &mut values);
+    let _ = node.clock.within(deadline, fetching).await;
+    values
+}
+
+async fn fetch_each(
+    node: &Node,
+    peer: SocketAddr,
+    digests: &[Digest],
+    values: &mut [Option<Vec<u8>>],
+) -> Option<()> {
+    let mut socket = TcpStream::connect(peer).await.ok()?;
+    let opened = handshake::open(&node.board, &node.clock, socket.clone(), "").await;
+    let (mut reader, _, _) = opened.ok()?;
+    for (index, digest) in digests.iter().enumerate() {
+        let stream = index as u32 + 1;
+        let mut buf = Vec::new();
+        let ask = Frame::Fetch {
+            stream,
+            digest: digest.0,
+        };
+        encode_frame(&ask, &mut buf).expect("a fetch fits a frame");
+        socket.write_all(&buf).await.ok()?;
+        if let Frame::Value { bytes, .. } = reader.next().await.ok()? {
+            values[index] = bytes.map(|bytes| bytes.to_vec());
+        }
+    }
+    Some(())
+}
--- /dev/null
+++ b/crates/mustardtiller/src/link/handshake.rs
@@ -0,0 +1,139 @@
+//! The first frames of a link.
+
+use mustardtiller_core::ClockSample;
+use mustardtiller_core::Instant;
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::Hello;
+use mustardtiller_wire::PROTOCOL_VERSION;
+use mustardtiller_wire::Welcome;
+use mustardtiller_wire::encode_frame;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use snafu::Snafu;
+
+use super::reader::ReadError;
+use super::reader::SocketReader;
+use crate::board::Board;
+use crate::board::Phase;
+use crate::clock::Clock;
+
+/// Why no link came up.
+#[derive(Debug, Snafu)]
+pub enum HandshakeError {
+    /// The connection could not be made or failed.
+    #[snafu(display("{source}"))]
+    Connect {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The peer's first frame did not come.
+    #[snafu(display("{source}"))]
+    Read {
+        /// The cause.
+        source: ReadError,
+    },
+    /// The peer did not answer in time.
+    #[snafu(display("no answer in time"))]
+    Late,
+    /// The peer sent another frame first.
+    #[snafu(display("the first frame is no handshake"))]
+    Unexpected,
+    /// The peer speaks another version.
+    #[snafu(display("the peer speaks version {version}"))]
+    Version {
+        /// The peer's version.
+        version: u16,
+    },
+    /// The peer serves another upstream.
+    #[snafu(display("the peer serves `{upstream}`"))]
+    OtherUpstream {
+        /// The upstream it serves.
+        upstream: String,
+    },
+}
+
+/// Open a link: say hello and take the welcome.
+pub async fn open(
+    board: &Board,
+    clock: &Clock,
+    socket: TcpStream,
+    upstream: &str,
+) -> Result<(SocketReader, Welcome, ClockSample), HandshakeError> {
+    let hello = Frame::Hello(Hello {
+        version: PROTOCOL_VERSION,
+        incarnation: board.identity.incarnation.0,
+        upstream: upstream.to_owned(),
+    });
+    let sent = clock.now();
+    write_frame(&socket, &hello).await?;
+    let mut reader = SocketReader::new(socket);
+    let first = reader
+        .next()
+        .await
+        .map_err(|source| HandshakeError::Read { source })?;
+    let Frame::Welcome(welcome) = first else {
+        return Err(HandshakeError::Unexpected);
+    };
+    check_version(welcome.version)?;
+    if !upstream.is_empty() && welcome.upstream != upstream {
+        return Err(HandshakeError::OtherUpstream {
+            upstream: welcome.upstream,
+        });
+    }
+    let peer = Instant::from_micros(welcome.clock_micros);
+    let sample = ClockSample {
+        sent,
+        received: clock.now(),
+        peer,
+    };
+    Ok((reader, welcome, sample))
+}
+
+/// Accept a link: take the hello and say welcome.
+pub async fn accept(
+    board: &Board,
+    clock: &Clock,
+    socket: TcpStream,
+) -> Result<SocketReader, HandshakeError> {
+    let mut reader = SocketReader::new(socket.clone());
+    let first = reader
+        .next()
+        .await
+        .map_err(|source| HandshakeError::Read { source })?;
+    let Frame::Hello(hello) = first else {
+        return Err(HandshakeError::Unexpected);
+    };
+    let welcome = Frame::Welcome(Welcome {
+        version: PROTOCOL_VERSION,
+        incarnation: board.identity.incarnation.0,
+        upstream: board.identity.upstream.to_string(),
+        clock_micros: clock.now().as_micros(),
+        load: board
+            .gate
+            .report(clock.now(), board.phase.read() >= Phase::Withdrawn),
+    });
+    write_frame(&socket, &welcome).await?;
+    check_version(hello.version)?;
+    if !hello.upstream.is_empty() && hello.upstream != board.identity.upstream.as_str() {
+        return Err(HandshakeError::OtherUpstream {
+            upstream: hello.upstream,
+        });
+    }
+    Ok(reader)
+}
+
+const fn check_version(version: u16) -> Result<(), HandshakeError> {
+    if version == PROTOCOL_VERSION {
+        Ok(())
+    } else {
+        Err(HandshakeError::Version { version })
+    }
+}
+
+async fn write_frame(socket: &TcpStream, frame: &Frame) -> Result<(), HandshakeError> {
+    let mut buf = Vec::new();
+    encode_frame(frame, &mut buf).expect("a handshake fits a frame");
+    let mut socket = socket.clone();
+    let written = socket.write_all(&buf).await;
+    written.map_err(|source| HandshakeError::Connect { source })
+}
--- /dev/null
+++ b/crates/mustardtiller/src/link/keeper.rs
@@ -0,0 +1,112 @@
+//! The controller that keeps one link up.
+
+use std::sync::Arc;
+
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Incarnation;
+use smol::net::TcpStream;
+
+use super::client::LinkEnd;
+use super::client::LinkHandle;
+use super::client::LinkTable;
+use super::handshake;
+use super::handshake::HandshakeError;
+use super::outlet::outlet;
+use super::reader::ReadError;
+use super::reader::SocketReader;
+use crate::board::Candidate;
+use crate::daemon::Node;
+use crate::events::Event;
+use crate::metrics::Counted;
+
+/// Time to connect and shake hands, in milliseconds.
+const CONNECT_MS: u64 = 1_000;
+
+/// First wait after a link was lost, in milliseconds; doubles with each failure.
+const FIRST_WAIT_MS: u64 = 20;
+
+/// Longest wait after a link was lost, in milliseconds.
+const LONGEST_WAIT_MS: u64 = 2_000;
+
+/// Keep the link of a candidate up until its slot is retired.
+pub async fn keep_link(node: Arc<Node>, candidate: Arc<Candidate>) {
+    let mut failures = 0_u32;
+    let mut rng = node.rng();
+    while !candidate.slot.is_retired() {
+        match connect(&node, &candidate).await {
+            Ok((link, table, reader)) => {
+                failures = 0;
+                carry(&node, &candidate, link, table, reader).await;
+            }
+            Err(e) => {
+                node.metrics.count(Counted::LinksLost);
+                if failures == 0 {
+                    Event::LinkLost.log(format_args!("{}: {e}", candidate.upstream.name));
+                }
+                failures += 1;
+            }
+        }
+        let wait = (FIRST_WAIT_MS << failures.min(8)).min(LONGEST_WAIT_MS);
+        node.clock.sleep_millis(rng.u64(wait / 2..=wait)).await;
+    }
+}
+
+async fn connect(
+    node: &Node,
+    candidate: &Candidate,
+) -> Result<(Arc<LinkHandle>, LinkTable, SocketReader), HandshakeError> {
+    let deadline = Deadline::in_millis(node.clock.now(), CONNECT_MS);
+    let name = candidate.upstream.name.as_str();
+    let connecting = async {
+        let socket = TcpStream::connect(candidate.upstream.link).await;
+        let socket = socket.map_err(|source| HandshakeError::Connect { source })?;
+        let prepared = socket.set_nodelay(true);
+        prepared.map_err(|source| HandshakeError::Connect { source })?;
+        let opened = handshake::open(&node.board, &node.clock, socket.clone(), name).await?;
+        Ok((socket, opened))
+    };
+    let connected = node.clock.within(deadline, connecting).await;
+    let (socket, (reader, welcome, sample)) = connected.ok_or(HandshakeError::Late)??;
+    candidate.signals.heard(welcome.load, node.clock.now());
+    let (outlet, feed) = outlet();
+    node.spawn(feed.write_all(socket));
+    let (link, table) = LinkHandle::new(outlet, Incarnation(welcome.incarnation), sample);
+    Ok((Arc::new(link), table, reader))
+}
+
+async fn carry(
+    node: &Node,
+    candidate: &Candidate,
+    link: Arc<LinkHandle>,
+    table: LinkTable,
+    mut reader: SocketReader,
+) {
+    let name = &candidate.upstream.name;
+    node.metrics.count(Counted::LinksMade);
+    Event::LinkUp.log(format_args!("{name}, gate {}", link.gate()));
+    candidate.slot.set(Some(Arc::clone(&link)));
+    let end = table
+        .run(
+            &link,
+            &mut reader,
+            &candidate.signals,
+            &node.clock,
+            &node.metrics,
+        )
+        .await;
+    candidate.slot.set(None);
+    link.close();
+    node.metrics.count(Counted::LinksLost);
+    match end {
+        LinkEnd::Closed => Event::LinkLost.log(format_args!("{name}: closed here")),
+        LinkEnd::Read(ReadError::Malformed { source }) => {
+            node.metrics.count(Counted::FramesMalformed);
+            Event::FrameMalformed.log(format_args!("{name}: {source}"));
+        }
+        LinkEnd::Read(e) => Event::LinkLost.log(format_args!("{name}: {e}")),
+        LinkEnd::Broken(wrong) => {
+            node.metrics.count(Counted::FramesMalformed);
+            Event::FrameMalformed.log(format_args!("{name}: {wrong}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/link/mod.rs
@@ -0,0 +1,23 @@
+//! Links: many requests on one connection between two daemons.
+
+mod client;
+mod credit;
+mod fetch;
+mod handshake;
+mod inbox;
+mod keeper;
+mod outlet;
+mod reader;
+mod server;
+mod slot;
+mod stream;
+
+pub use client::LinkHandle;
+pub use fetch::fetch_values;
+pub use keeper::keep_link;
+pub use server::serve_links;
+pub use slot::LinkSlot;
+pub use stream::AnswerBody;
+pub use stream::BodySender;
+pub use stream::ClientStream;
+pub use stream::Reply;
--- /dev/null
+++ b/crates/mustardtiller/src/link/reader.rs
@@ -0,0 +1,66 @@
+//! Frames from a socket.
+
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::FrameReader;
+use mustardtiller_wire::WireError;
+use smol::io::AsyncReadExt;
+use smol::net::TcpStream;
+use snafu::Snafu;
+
+/// Bytes read at once.
+const READ_BYTES: usize = 64 * 1024;
+
+/// Why no further frame comes.
+#[derive(Debug, Snafu)]
+pub enum ReadError {
+    /// The connection ended.
+    #[snafu(display("connection ended"))]
+    Ended,
+    /// The connection failed.
+    #[snafu(display("connection failed: {source}"))]
+    Failed {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The peer sent what is no frame.
+    #[snafu(display("{source}"))]
+    Malformed {
+        /// The cause.
+        source: WireError,
+    },
+}
+
+/// Reads frames from one socket.
+#[derive(Debug)]
+pub struct SocketReader {
+    socket: TcpStream,
+    frames: FrameReader,
+    buf: Vec<u8>,
+}
+
+impl SocketReader {
+    /// Read from `socket`.
+    pub fn new(socket: TcpStream) -> Self {
+        Self {
+            socket,
+            frames: FrameReader::default(),
+            buf: vec![0; READ_BYTES],
+        }
+    }
+
+    /// Wait for the next frame. May be dropped and called again at any time.
+    pub async fn next(&mut self) -> Result<Frame, ReadError> {
+        loop {
+            match self.frames.next_frame() {
+                Ok(Some(frame)) => return Ok(frame),
+                Ok(None) => {}
+                Err(source) => return Err(ReadError::Malformed { source }),
+            }
+            match self.socket.read(&mut self.buf).await {
+                Ok(0) => return Err(ReadError::Ended),
+                Ok(count) => self.frames.extend(&self.buf[..count]),
+                Err(source) => return Err(ReadError::Failed { source }),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/link/server.rs
@@ -0,0 +1,508 @@
+//! The gate's end of links.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_channel::unbounded;
+use bytes::Bytes;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Digest;
+use mustardtiller_core::Instant;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Token;
+use mustardtiller_core::Verdict;
+use mustardtiller_wire::BodyForm;
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::RequestHead;
+use smol::Task;
+use smol::future;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+use super::credit::PIECE_BYTES;
+use super::credit::SendCredit;
+use super::handshake;
+use super::inbox::Delivery;
+use super::inbox::Inbox;
+use super::inbox::InboxFeed;
+use super::inbox::inbox;
+use super::outlet::Outlet;
+use super::outlet::outlet;
+use super::reader::ReadError;
+use super::reader::SocketReader;
+use crate::board::Phase;
+use crate::body::BodyCut;
+use crate::body::PieceSource;
+use crate::daemon::Node;
+use crate::events::Event;
+use crate::gate::GateAnswer;
+use crate::gate::GateBody;
+use crate::gate::GateRequest;
+use crate::gate::run_request;
+use crate::metrics::Counted;
+
+/// Streams that a peer may have open on one link.
+const MAX_STREAMS: usize = 2_048;
+
+/// Time for a peer's first frame, in milliseconds.
+const HELLO_MS: u64 = 2_000;
+
+/// Time without a frame after which a link is given up, in milliseconds.
+const IDLE_MS: u64 = 90_000;
+
+/// Accept links until the daemon drains.
+pub async fn serve_links(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let stopped = async {
+            node.board.phase.reached(Phase::Stopped).await;
+            None
+        };
+        let accepted = async { Some(listener.accept().await) };
+        match future::or(stopped, accepted).await {
+            None => return,
+            Some(Ok((socket, _))) => {
+                let serving = serve_link(Arc::clone(&node), socket);
+                node.spawn(serving);
+            }
+            Some(Err(e)) => {
+                Event::AcceptFailed.log(format_args!("link: {e}"));
+                node.clock.sleep_millis(10).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(node: Arc<Node>, socket: TcpStream) {
+    let _ = socket.set_nodelay(true);
+    let deadline = Deadline::in_millis(node.clock.now(), HELLO_MS);
+    let accepting = handshake::accept(&node.board, &node.clock, socket.clone());
+    let reader = match node.clock.within(deadline, accepting).await {
+        Some(Ok(reader)) => reader,
+        Some(Err(e)) => {
+            node.metrics.count(Counted::HandshakesRefused);
+            Event::HandshakeRefused.log(e);
+            return;
+        }
+        None => return,
+    };
+    let (outlet, feed) = outlet();
+    node.spawn(feed.write_all(socket));
+    let (done, finished) = unbounded();
+    let link = ServerLink {
+        node,
+        outlet,
+        streams: HashMap::new(),
+        done,
+        finished,
+    };
+    link.run(reader).await;
+}
+
+/// A stream as the gate's reader knows it. Dropping it cancels the request.
+#[derive(Debug)]
+struct ServerStream {
+    feed: InboxFeed,
+    credit: Arc<SendCredit>,
+    task: Option<Task<()>>,
+}
+
+/// One link, owned by its reader.
+#[derive(Debug)]
+struct ServerLink {
+    node: Arc<Node>,
+    outlet: Outlet,
+    streams: HashMap<u32, ServerStream>,
+    done: Sender<u32>,
+    finished: Receiver<u32>,
+}
+
+/// Why the gate gives a link up.
+enum LinkFault {
+    Read(ReadError),
+    Broken(&'static str),
+    Idle,
+}
+
+impl ServerLink {
+    async fn run(mut self, mut reader: SocketReader) {
+        let fault = self.read(&mut reader).await;
+        match fault {
+            LinkFault::Read(ReadError::Malformed { source }) => {
+                self.node.metrics.count(Counted::FramesMalformed);
+                Event::FrameMalformed.log(source);
+            }
+            LinkFault::Broken(wrong) => {
+                self.node.metrics.count(Counted::FramesMalformed);
+                Event::FrameMalformed.log(wrong);
+            }
+            LinkFault::Read(_) | LinkFault::Idle => {}
+        }
+        self.outlet.close();
+    }
+
+    async fn read(&mut self, reader: &mut SocketReader) -> LinkFault {
+        let draining = Arc::clone(&self.node);
+        let mut told = false;
+        let mut quiet = Deadline::in_millis(self.node.clock.now(), IDLE_MS);
+        loop {
+            let clock = self.node.clock;
+            let next = async { Step::Frame(reader.next().await) };
+            let drain = async {
+                if told {
+                    future::pending::<()>().await;
+                }
+                draining.board.phase.reached(Phase::Draining).await;
+                Step::Draining
+            };
+            let idle = async {
+                clock.sleep_until(quiet).await;
+                Step::Idle
+            };
+            match future::or(next, future::or(drain, idle)).await {
+                Step::Frame(Ok(frame)) => {
+                    quiet = Deadline::in_millis(clock.now(), IDLE_MS);
+                    self.sweep();
+                    if let Err(wrong) = self.take(frame) {
+                        return LinkFault::Broken(wrong);
+                    }
+                }
+                Step::Frame(Err(e)) => return LinkFault::Read(e),
+                Step::Draining => {
+                    told = true;
+                    let _ = self.outlet.send(Frame::GoAway);
+                }
+                Step::Idle => {
+                    self.sweep();
+                    if self.streams.is_empty() {
+                        return LinkFault::Idle;
+                    }
+                    quiet = Deadline::in_millis(clock.now(), IDLE_MS);
+                }
+            }
+        }
+    }
+
+    /// Forget the streams that have ended.
+    fn sweep(&mut self) {
+        while let Ok(stream) = self.finished.try_recv() {
+            if let Some(mut ended) = self.streams.remove(&stream)
+                && let Some(task) = ended.task.take()
+            {
+                task.detach();
+            }
+        }
+    }
+
+    fn take(&mut self, frame: Frame) -> Result<(), &'static str> {
+        match frame {
+            Frame::Open { stream, head } => self.open(stream, *head),
+            Frame::Data { stream, ref bytes } => {
+                let count = bytes.len();
+                self.deliver(stream, frame, count)
+            }
+            Frame::DataEnd { stream } | Frame::DataCut { stream } => self.deliver(stream, frame, 0),
+            Frame::Credit { stream, bytes } => {
+                if let Some(known) = self.streams.get(&stream) {
+                    known.credit.grant(bytes);
+                }
+                Ok(())
+            }
+            Frame::Cancel { stream } => {
+                self.cancel(stream);
+                Ok(())
+            }
+            Frame::Ping { sequence } => {
+                let now = self.node.clock.now();
+                let load = self.node.report();
+                let pong = Frame::Pong {
+                    sequence,
+                    clock_micros: now.as_micros(),
+                    load,
+                };
+                let _ = self.outlet.send(pong);
+                Ok(())
+            }
+            Frame::Fetch { stream, digest } => {
+                let bytes = self.value(Digest(digest));
+                let _ = self.outlet.send(Frame::Value { stream, bytes });
+                Ok(())
+            }
+            Frame::Hello(_)
+            | Frame::Welcome(_)
+            | Frame::Admitted { .. }
+            | Frame::Refused { .. }
+            | Frame::Answer { .. }
+            | Frame::AnswerData { .. }
+            | Frame::AnswerEnd { .. }
+            | Frame::AnswerCut { .. }
+            | Frame::Pong { .. }
+            | Frame::Value { .. }
+            | Frame::GoAway => Err("an entry sent a gate's frame"),
+        }
+    }
+
+    fn open(&mut self, stream: u32, head: RequestHead) -> Result<(), &'static str> {
+        if self.streams.contains_key(&stream) {
+            return Err("a stream was opened twice");
+        }
+        if self.streams.len() >= MAX_STREAMS {
+            self.refuse(stream, NotRunReason::LinkFull);
+            return Ok(());
+        }
+        if head.upstream != self.node.board.identity.upstream.as_str() {
+            self.refuse(stream, NotRunReason::WrongUpstream);
+            return Ok(());
+        }
+        let (feed, inbox) = inbox(stream, self.outlet.clone());
+        let credit = Arc::new(SendCredit::new());
+        let responder = Responder {
+            node: Arc::clone(&self.node),
+            outlet: self.outlet.clone(),
+            stream,
+            credit: Arc::clone(&credit),
+            done: self.done.clone(),
+        };
+        let req = gate_request(head, inbox, self.outlet.clone(), stream);
+        // An order with a token runs to its end, so that a repeat finds its answer.
+        let detached = req.token.is_some();
+        let task = self.node.spawn_task(responder.respond(req));
+        let task = if detached {
+            task.detach();
+            None
+        } else {
+            Some(task)
+        };
+        self.streams
+            .insert(stream, ServerStream { feed, credit, task });
+        Ok(())
+    }
+
+    fn refuse(&self, stream: u32, reason: NotRunReason) {
+        let verdict = Verdict::NotRun(reason).into();
+        let load = self.node.report();
+        let _ = self.outlet.send(Frame::Refused {
+            stream,
+            verdict,
+            load,
+        });
+    }
+
+    /// Drop a request whose caller has gone, and say that it ended.
+    ///
+    /// One with a token goes on to its end and says so itself.
+    fn cancel(&mut self, stream: u32) {
+        let Some(known) = self.streams.get(&stream) else {
+            return;
+        };
+        self.node.metrics.count(Counted::CallersGone);
+        known.credit.close();
+        if known.task.is_some() {
+            self.streams.remove(&stream);
+            let _ = self.outlet.send_behind(Frame::AnswerCut { stream });
+        }
+    }
+
+    fn deliver(&self, stream: u32, frame: Frame, bytes: usize) -> Result<(), &'static str> {
+        match self
+            .streams
+            .get(&stream)
+            .map(|s| s.feed.deliver(frame, bytes))
+        {
+            Some(Delivery::Overrun) => Err("a stream exceeded its window"),
+            Some(Delivery::Taken | Delivery::Late) | None => Ok(()),
+        }
+    }
+
+    fn value(&self, digest: Digest) -> Option<Bytes> {
+        let artefact = self.node.board.artefact.share();
+        let artefact = artefact.as_ref().as_ref()?;
+        if artefact.version().digest == digest {
+            return Some(Bytes::copy_from_slice(&artefact.manifest_bytes));
+        }
+        artefact
+            .parts
+            .get(&digest)
+            .map(|bytes| Bytes::copy_from_slice(bytes))
+    }
+}
+
+impl Drop for ServerLink {
+    fn drop(&mut self) {
+        for known in self.streams.values() {
+            known.credit.close();
+        }
+    }
+}
+
+enum Step {
+    Frame(Result<Frame, ReadError>),
+    Draining,
+    Idle,
+}
+
+fn gate_request(head: RequestHead, inbox: Inbox, outlet: Outlet, stream: u32) -> GateRequest {
+    let body = match head.body {
+        BodyForm::Empty => GateBody::Whole(Bytes::new()),
+        BodyForm::Whole(bytes) => GateBody::Whole(bytes),
+        BodyForm::Streamed { length } => {
+            let source = LinkPieces {
+                inbox,
+                outlet,
+                stream,
+                begun: false,
+            };
+            GateBody::Streamed {
+                length,
+                source: Box::new(source),
+            }
+        }
+    };
+    GateRequest {
+        kind: head.kind,
+        caller: head.caller,
+        share: head.share,
+        urgent: head.urgent,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        deadline: Deadline::at(Instant::from_micros(head.deadline_micros)),
+        token: head.token.as_ref().map(Token::from),
+        depth: head.depth,
+        retried: head.retried,
+        body,
+    }
+}
+
+/// The pieces of a streamed body that come over the link.
+#[derive(Debug)]
+struct LinkPieces {
+    inbox: Inbox,
+    outlet: Outlet,
+    stream: u32,
+    begun: bool,
+}
+
+impl PieceSource for LinkPieces {
+    fn begin(&mut self) {
+        if !std::mem::replace(&mut self.begun, true) {
+            let _ = self.outlet.send(Frame::Admitted {
+                stream: self.stream,
+            });
+        }
+    }
+
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyCut>>> {
+        self.inbox.poll_next(cx).map(|frame| match frame {
+            Some(Frame::Data { bytes, .. }) => {
+                self.inbox.taken(bytes.len());
+                Some(Ok(bytes))
+            }
+            Some(Frame::DataEnd { .. }) => None,
+            _ => Some(Err(BodyCut)),
+        })
+    }
+}
+
+const fn end_frame(stream: u32, whole: bool) -> Frame {
+    if whole {
+        Frame::AnswerEnd { stream }
+    } else {
+        Frame::AnswerCut { stream }
+    }
+}
+
+/// Sends the answer to one request back over the link.
+struct Responder {
+    node: Arc<Node>,
+    outlet: Outlet,
+    stream: u32,
+    credit: Arc<SendCredit>,
+    done: Sender<u32>,
+}
+
+impl Responder {
+    async fn respond(self, req: GateRequest) {
+        let answer = run_request(&self.node, req).await;
+        match answer {
+            GateAnswer::Refused(verdict) => {
+                let load = self.node.report();
+                let verdict = verdict.into();
+                self.end(Frame::Refused {
+                    stream: self.stream,
+                    verdict,
+                    load,
+                });
+            }
+            GateAnswer::Whole { head, bytes } if bytes.len() <= PIECE_BYTES => {
+                let load = self.node.report();
+                let stream = self.stream;
+                let head = Box::new(head);
+                self.end(Frame::Answer {
+                    stream,
+                    head,
+                    bytes,
+                    last: true,
+                    load,
+                });
+            }
+            GateAnswer::Whole { head, bytes } => {
+                self.begin(head);
+                let sent = self.send(bytes).await;
+                self.end(end_frame(self.stream, sent));
+            }
+            GateAnswer::Streamed { head, mut body } => {
+                self.begin(head);
+                loop {
+                    match body.next().await {
+                        Some(Ok(bytes)) => {
+                            if !self.send(bytes).await {
+                                return self.end(end_frame(self.stream, false));
+                            }
+                        }
+                        Some(Err(_)) => return self.end(end_frame(self.stream, false)),
+                        None => return self.end(end_frame(self.stream, true)),
+                    }
+                }
+            }
+        }
+    }
+
+    fn begin(&self, head: mustardtiller_wire::AnswerHead) {
+        let load = self.node.report();
+        let frame = Frame::Answer {
+            stream: self.stream,
+            head: Box::new(head),
+            bytes: Bytes::new(),
+            last: false,
+            load,
+        };
+        let _ = self.outlet.send(frame);
+    }
+
+    async fn send(&self, mut bytes: Bytes) -> bool {
+        while !bytes.is_empty() {
+            let piece = bytes.split_to(bytes.len().min(PIECE_BYTES));
+            let count = piece.len();
+            if !self.credit.spend(count).await {
+                return false;
+            }
+            let frame = Frame::AnswerData {
+                stream: self.stream,
+                bytes: piece,
+            };
+            if self.outlet.send_piece(frame, count).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn end(&self, frame: Frame) {
+        let _ = self.outlet.send_behind(frame);
+        let _ = self.done.try_send(self.stream);
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/link/slot.rs
@@ -0,0 +1,98 @@
+//! The place of one upstream's link, up or not.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwapOption;
+use event_listener::Event;
+
+use super::client::LinkHandle;
+use crate::clock::Clock;
+use mustardtiller_core::Deadline;
+
+/// The link to one upstream's daemon. Written by its link controller.
+pub struct LinkSlot {
+    current: ArcSwapOption<LinkHandle>,
+    kept: AtomicBool,
+    retired: AtomicBool,
+    changed: Event,
+}
+
+impl LinkSlot {
+    /// Start with no link.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            current: ArcSwapOption::empty(),
+            kept: AtomicBool::new(false),
+            retired: AtomicBool::new(false),
+            changed: Event::new(),
+        }
+    }
+
+    /// Report whether a link is up.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.current.load().is_some()
+    }
+
+    /// Return the link, if it is up.
+    #[must_use]
+    pub fn get(&self) -> Option<Arc<LinkHandle>> {
+        self.current.load_full()
+    }
+
+    /// Wait for a link until a deadline.
+    pub async fn wait(&self, clock: &Clock, deadline: Deadline) -> Option<Arc<LinkHandle>> {
+        let up = async {
+            loop {
+                let changed = self.changed.listen();
+                if let Some(link) = self.get() {
+                    return link;
+                }
+                changed.await;
+            }
+        };
+        clock.within(deadline, up).await
+    }
+
+    /// Claim the right to keep this slot's link; true for the first who asks.
+    pub(crate) fn claim(&self) -> bool {
+        !self.kept.swap(true, Ordering::SeqCst)
+    }
+
+    /// Record the link, or that there is none. For the link controller.
+    pub(crate) fn set(&self, link: Option<Arc<LinkHandle>>) {
+        self.current.store(link);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ask the link controller to close the link for good.
+    pub(crate) fn retire(&self) {
+        self.retired.store(true, Ordering::SeqCst);
+        if let Some(link) = self.get() {
+            link.close();
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.load(Ordering::SeqCst)
+    }
+}
+
+impl Default for LinkSlot {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl fmt::Debug for LinkSlot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LinkSlot")
+            .field("up", &self.is_up())
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -0,0 +1,203 @@
+//! The daemon's counters.
+//!
+//! All are made at start and held as arrays of atomics, so that counting on
+//! the path of a request takes no lock and looks nothing up.
+
+use std::fmt;
+
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::RetryReason;
+use mustardtiller_core::UnknownReason;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+macro_rules! counted {
+    ($($help:literal $variant:ident = $name:literal,)*) => {
+        /// What is counted without a label.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum Counted {
+            $(#[doc = $help] $variant,)*
+        }
+
+        impl Counted {
+            /// Every counter.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Return the name of the metric, without prefix and suffix.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$variant => $name,)* }
+            }
+
+            /// Return what is counted.
+            #[must_use]
+            pub const fn help(self) -> &'static str {
+                match self { $(Self::$variant => $help,)* }
+            }
+        }
+    };
+}
+
+counted!(
+    "Requests taken by the entry" Requests = "requests",
+    "Requests answered" Answered = "answered",
+    "Answers cut after their head was passed on" AnswersCut = "answers_cut",
+    "Answers that came after their caller had gone" AnswersLate = "answers_late",
+    "Requests whose caller went away" CallersGone = "callers_gone",
+    "Requests hedged" Hedges = "hedges",
+    "Hedges that answered first" HedgesWon = "hedges_won",
+    "Tokens handed out" TokensMinted = "tokens_minted",
+    "Answers repeated from the token ledger" AnswersRepeated = "answers_repeated",
+    "Requests admitted by the gate" Admitted = "gate_admitted",
+    "Requests that waited in the gate's queue" Queued = "gate_queued",
+    "Connections made to the upstream" UpstreamConnections = "upstream_connections",
+    "Measurements of the upstream's load" Measurements = "measurements",
+    "Measurements that failed" MeasurementsFailed = "measurements_failed",
+    "Links made to other daemons" LinksMade = "links_made",
+    "Links lost" LinksLost = "links_lost",
+    "Links given up for silence" LinksSilent = "links_silent",
+    "Frames that made no sense" FramesMalformed = "frames_malformed",
+    "Handshakes refused" HandshakesRefused = "handshakes_refused",
+    "Datagrams that made no sense" DatagramsMalformed = "datagrams_malformed",
+    "Datagrams sent" DatagramsSent = "datagrams_sent",
+    "Datagrams received" DatagramsReceived = "datagrams_received",
+    "Bytes of datagrams sent" DatagramBytesSent = "datagram_bytes_sent",
+    "Bytes of datagrams received" DatagramBytesReceived = "datagram_bytes_received",
+    "Calls made to the platform" PlatformReads = "platform_reads",
+    "Calls to the platform that failed" PlatformFailures = "platform_failures",
+    "Values fetched from peers" PeerFetches = "peer_fetches",
+    "Values that no peer had" PeerFetchesFailed = "peer_fetches_failed",
+    "Configurations accepted" ConfigsAccepted = "configs_accepted",
+    "Configurations refused" ConfigsRefused = "configs_refused",
+    "Older configurations not taken" ConfigsOlder = "configs_older",
+    "Two contents seen under one revision" ConfigsConflicting = "configs_conflicting",
+    "Upstreams ejected for errors" Ejections = "ejections",
+    "Malformed requests from callers" RequestsMalformed = "requests_malformed",
+);
+
+/// The daemon's counters.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    plain: Vec<Counter>,
+    not_run: Vec<Counter>,
+    unknown: Vec<Counter>,
+    retries: Vec<Counter>,
+    /// Requests in flight at the entry.
+    pub entry_in_flight: Gauge,
+    /// Requests in flight at the gate.
+    pub gate_in_flight: Gauge,
+    /// The revision in force.
+    pub revision: Gauge,
+}
+
+type Labels = [(&'static str, String); 2];
+type RetryLabels = [(&'static str, String); 1];
+
+impl Metrics {
+    /// Make every counter.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("mustardtiller");
+        let plain = Counted::ALL
+            .iter()
+            .map(|counted| {
+                let counter = Counter::default();
+                registry.register(counted.name(), counted.help(), counter.clone());
+                counter
+            })
+            .collect();
+        let refusals = Family::<Labels, Counter>::default();
+        let retries = Family::<RetryLabels, Counter>::default();
+        registry.register("refusals", "Requests refused", refusals.clone());
+        registry.register("retries", "Requests tried again", retries.clone());
+        let refusal = |class: &str, reason: &str| {
+            let labels = [("class", class.to_owned()), ("reason", reason.to_owned())];
+            refusals.get_or_create_owned(&labels)
+        };
+        let not_run = NotRunReason::ALL
+            .iter()
+            .map(|r| refusal("not-run", r.as_str()));
+        let unknown = UnknownReason::ALL
+            .iter()
+            .map(|r| refusal("unknown", r.as_str()));
+        let (not_run, unknown) = (not_run.collect(), unknown.collect());
+        let retried = RetryReason::ALL.iter().map(|reason| {
+            let labels = [("reason", reason.as_str().to_owned())];
+            retries.get_or_create_owned(&labels)
+        });
+        let retries = retried.collect();
+        let entry_in_flight = Gauge::default();
+        let gate_in_flight = Gauge::default();
+        let revision = Gauge::default();
+        registry.register(
+            "entry_in_flight",
+            "Requests in flight at the entry",
+            entry_in_flight.clone(),
+        );
+        registry.register(
+            "gate_in_flight",
+            "Requests in flight at the gate",
+            gate_in_flight.clone(),
+        );
+        registry.register("revision", "The revision in force", revision.clone());
+        Self {
+            registry,
+            plain,
+            not_run,
+            unknown,
+            retries,
+            entry_in_flight,
+            gate_in_flight,
+            revision,
+        }
+    }
+
+    /// Count one.
+    pub fn count(&self, counted: Counted) {
+        self.add(counted, 1);
+    }
+
+    /// Count `number`.
+    pub fn add(&self, counted: Counted, number: u64) {
+        self.plain[counted as usize].inc_by(number);
+    }
+
+    /// Return a count.
+    #[must_use]
+    pub fn value(&self, counted: Counted) -> u64 {
+        self.plain[counted as usize].get()
+    }
+
+    /// Count a refusal to a caller.
+    pub fn count_refusal(&self, refusal: Refusal) {
+        match refusal {
+            Refusal::NotRun(not_run) => self.not_run[not_run.reason() as usize].inc(),
+            Refusal::Unknown(reason) => self.unknown[reason as usize].inc(),
+        };
+    }
+
+    /// Count a retry.
+    pub fn count_retry(&self, reason: RetryReason) {
+        self.retries[reason as usize].inc();
+    }
+
+    /// Write every metric in the text exposition format.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text can't be written.
+    pub fn write(&self, f: &mut impl fmt::Write) -> fmt::Result {
+        encode(f, &self.registry)
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/metrics/endpoint.rs
@@ -0,0 +1,62 @@
+//! The endpoint that shows the counters.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::net::TcpListener;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+
+use crate::daemon::Node;
+
+/// The content type of the text exposition format.
+const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Serve `GET /metrics`.
+pub async fn serve_metrics(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            node.clock.sleep_millis(10).await;
+            continue;
+        };
+        let shown = Arc::clone(&node);
+        node.spawn(async move {
+            let service = service_fn(|req| {
+                let response = show(&shown, &req);
+                async { Ok::<_, Infallible>(response) }
+            });
+            let mut builder = http1::Builder::new();
+            builder.timer(SmolTimer::new());
+            // A reader that goes away is no event.
+            let _ = builder
+                .serve_connection(FuturesIo::new(socket), service)
+                .await;
+        });
+    }
+}
+
+fn show(node: &Node, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.uri().path() != "/metrics" {
+        return text(404, "text/plain", "see /metrics\n".to_owned());
+    }
+    let mut buf = String::new();
+    match node.metrics.write(&mut buf) {
+        Ok(()) => text(200, CONTENT_TYPE, buf),
+        Err(e) => text(500, "text/plain", e.to_string()),
+    }
+}
+
+fn text(status: u16, content_type: &str, body: String) -> Response<Full<Bytes>> {
+    Response::builder()
+        .status(status)
+        .header("content-type", content_type)
+        .body(Full::new(Bytes::from(body)))
+        .expect("the parts of the response are valid")
+}
--- /dev/null
+++ b/crates/mustardtiller/src/metrics/mod.rs
@@ -0,0 +1,8 @@
+//! Counters and the endpoint that shows them.
+
+mod counters;
+mod endpoint;
+
+pub use counters::Counted;
+pub use counters::Metrics;
+pub use endpoint::serve_metrics;
--- /dev/null
+++ b/crates/mustardtiller/src/platform/hosts.rs
@@ -0,0 +1,46 @@
+//! The host list's text.
+
+use mustardtiller_core::HostList;
+use mustardtiller_core::Member;
+use mustardtiller_core::MemberState;
+
+/// Read a host list: one `NAME PLACE ADDRESS live|leaving` a line.
+///
+/// # Errors
+///
+/// Returns the first line that makes no sense; then nothing of the list is used.
+///
+/// # Examples
+///
+/// ```
+/// use mustardtiller::parse_hosts;
+///
+/// let list = parse_hosts("katalog-1 jadran-a 127.0.0.1:9001 live\n").unwrap();
+/// assert_eq!(list.members.len(), 1);
+/// ```
+pub fn parse_hosts(text: &str) -> Result<HostList, String> {
+    let lines = text.lines().map(str::trim);
+    let members = lines
+        .filter(|line| !line.is_empty() && !line.starts_with('#'))
+        .map(|line| parse_line(line).ok_or_else(|| line.chars().take(100).collect()))
+        .collect::<Result<Vec<Member>, String>>()?;
+    Ok(HostList { members })
+}
+
+fn parse_line(line: &str) -> Option<Member> {
+    let mut words = line.split_whitespace();
+    let name = words.next()?.into();
+    let place = words.next()?.into();
+    let link = words.next()?.parse().ok()?;
+    let state = match words.next()? {
+        "live" => MemberState::Live,
+        "leaving" => MemberState::Leaving,
+        _ => return None,
+    };
+    words.next().is_none().then_some(Member {
+        name,
+        place,
+        link,
+        state,
+    })
+}
--- /dev/null
+++ b/crates/mustardtiller/src/platform/http.rs
@@ -0,0 +1,156 @@
+//! The platform over HTTP.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use mustardtiller_config::MAX_VALUE_BYTES;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Digest;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use super::source::PlatformError;
+use super::source::PlatformSource;
+use super::source::PlatformValue;
+use super::source::Reading;
+use crate::clock::Clock;
+
+/// Time for a call, in milliseconds.
+const CALL_MS: u64 = 3_000;
+
+/// Time that a watch waits for a change, in milliseconds.
+const WATCH_MS: u64 = 20_000;
+
+/// Reads the platform over HTTP, one connection a call.
+///
+/// `GET /config/manifest` and `GET /config/parts/DIGEST` give values with an
+/// `ETag`; `?wait_ms=N` with `If-None-Match` waits for a change and answers
+/// 304 if none came. `GET /hosts` gives the host list.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpPlatform {
+    address: SocketAddr,
+    clock: Clock,
+}
+
+impl HttpPlatform {
+    /// Read the platform at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr, clock: Clock) -> Self {
+        Self { address, clock }
+    }
+
+    async fn get(
+        &self,
+        path: &str,
+        tag: Option<&str>,
+        wait_ms: u64,
+    ) -> Result<Option<PlatformValue>, PlatformError> {
+        let deadline = Deadline::in_millis(self.clock.now(), CALL_MS + wait_ms);
+        let calling = self.call(path, tag);
+        let called = self.clock.within(deadline, calling).await;
+        called.unwrap_or_else(|| Err(call_error(&"no answer in time")))
+    }
+
+    async fn call(
+        &self,
+        path: &str,
+        tag: Option<&str>,
+    ) -> Result<Option<PlatformValue>, PlatformError> {
+        let socket = TcpStream::connect(self.address)
+            .await
+            .map_err(|e| call_error(&e))?;
+        let handshake = http1::handshake(FuturesIo::new(socket)).await;
+        let (mut sender, connection) = handshake.map_err(|e| call_error(&e))?;
+        let mut request = Request::get(path).header("host", self.address.to_string());
+        if let Some(tag) = tag {
+            request = request.header("if-none-match", tag);
+        }
+        let request = request
+            .body(Empty::<Bytes>::new())
+            .map_err(|e| call_error(&e))?;
+        let answering = async {
+            let response = sender
+                .send_request(request)
+                .await
+                .map_err(|e| call_error(&e))?;
+            read_value(response).await
+        };
+        let driving = async {
+            let ended = connection.await;
+            let cause = ended
+                .err()
+                .map_or_else(|| "closed".to_owned(), |e| e.to_string());
+            // The answer may have come whole before the connection ended.
+            smol::future::yield_now().await;
+            Err(call_error(&cause))
+        };
+        smol::future::or(answering, driving).await
+    }
+
+    async fn value(&self, path: &str) -> Result<Vec<u8>, PlatformError> {
+        let value = self.get(path, None, 0).await?;
+        value
+            .map(|value| value.bytes)
+            .ok_or(PlatformError::Status { status: 304 })
+    }
+}
+
+impl PlatformSource for HttpPlatform {
+    fn manifest(&self, held: Option<&str>) -> Reading<'_, Option<PlatformValue>> {
+        let held = held.map(str::to_owned);
+        Box::pin(async move {
+            match held {
+                Some(tag) => {
+                    let path = format!("/config/manifest?wait_ms={WATCH_MS}");
+                    self.get(&path, Some(&tag), WATCH_MS).await
+                }
+                None => self.get("/config/manifest", None, 0).await,
+            }
+        })
+    }
+
+    fn part(&self, digest: Digest) -> Reading<'_, Vec<u8>> {
+        Box::pin(async move { self.value(&format!("/config/parts/{digest}")).await })
+    }
+
+    fn hosts(&self) -> Reading<'_, Vec<u8>> {
+        Box::pin(self.value("/hosts"))
+    }
+}
+
+async fn read_value(response: Response<Incoming>) -> Result<Option<PlatformValue>, PlatformError> {
+    let status = response.status().as_u16();
+    let tag = response
+        .headers()
+        .get("etag")
+        .and_then(|tag| tag.to_str().ok());
+    let tag = tag.unwrap_or_default().to_owned();
+    match status {
+        200 => {
+            let body = Limited::new(response.into_body(), MAX_VALUE_BYTES);
+            let body = body.collect().await;
+            let body = body.map_err(|_| PlatformError::TooLarge {
+                limit: MAX_VALUE_BYTES,
+            })?;
+            Ok(Some(PlatformValue {
+                bytes: body.to_bytes().to_vec(),
+                tag,
+            }))
+        }
+        304 => Ok(None),
+        _ => Err(PlatformError::Status { status }),
+    }
+}
+
+fn call_error(cause: &impl ToString) -> PlatformError {
+    PlatformError::Call {
+        cause: cause.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -0,0 +1,256 @@
+//! Settings from one INI file, checked before the daemon starts.
+
+use std::net::SocketAddr;
+
+use log::LevelFilter;
+use mustardtiller_config::Document;
+use mustardtiller_config::Fault;
+use mustardtiller_config::Fields;
+use mustardtiller_config::Section;
+use mustardtiller_config::Source;
+use mustardtiller_core::PlaceName;
+use mustardtiller_core::SpreadRule;
+use mustardtiller_core::UpstreamName;
+
+/// Words for log levels.
+const LEVELS: &[(&str, LevelFilter)] = &[
+    ("error", LevelFilter::Error),
+    ("warn", LevelFilter::Warn),
+    ("info", LevelFilter::Info),
+    ("debug", LevelFilter::Debug),
+];
+
+/// Longest time that a setting may state, in milliseconds.
+const MAX_MILLIS: u64 = 3_600_000;
+
+/// The settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The upstream beside this daemon.
+    pub upstream: UpstreamName,
+    /// The place it stands in.
+    pub place: PlaceName,
+    /// Where callers reach the entry.
+    pub entry: SocketAddr,
+    /// Where other daemons reach the gate, by TCP and UDP.
+    pub link: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: Option<SocketAddr>,
+    /// The platform's service.
+    pub platform: SocketAddr,
+    /// Peers asked before the host list is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Services whose links are made before their first request.
+    pub calls: Vec<String>,
+    /// Worker threads.
+    pub threads: u64,
+    /// Log level.
+    pub level: LevelFilter,
+    /// Time between being withdrawn and closing the entry, in milliseconds.
+    pub withdraw_ms: u64,
+    /// Time a stop waits for work in flight, in milliseconds.
+    pub stop_ms: u64,
+    /// Time a caller has to send a request's head, in milliseconds.
+    pub head_ms: u64,
+    /// Time a caller has between two pieces of a body, in milliseconds.
+    pub piece_ms: u64,
+    /// Largest body that is held to be sent whole, in bytes.
+    pub held_body_bytes: u64,
+    /// Largest streamed body, in bytes.
+    pub streamed_body_bytes: u64,
+    /// Largest head of a request, in bytes.
+    pub head_bytes: u64,
+    /// Time a cold upstream takes to full load, in milliseconds.
+    pub ramp_ms: u64,
+    /// Tokens that the gate remembers.
+    pub ledger_tokens: u64,
+    /// Time from minting to expiry of a token, in milliseconds.
+    pub token_ms: u64,
+    /// Rates of the configuration's spread.
+    pub spread: SpreadRule,
+    /// Time between two reads of the host list, in milliseconds.
+    pub hosts_ms: u64,
+}
+
+impl Settings {
+    /// Read settings from an INI text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault at once, in the order of lines.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use mustardtiller::Settings;
+    /// use mustardtiller::config::Source;
+    ///
+    /// let faults = Settings::read(&Source::new("d.ini", "[daemon]\nupsteam = a\n")).unwrap_err();
+    /// assert!(faults.iter().any(|f| f.right == "did you mean `upstream`?"));
+    /// ```
+    pub fn read(source: &Source) -> Result<Self, Vec<Fault>> {
+        let mut faults = Vec::new();
+        let document = Document::read(source, &mut faults);
+        check_sections(&document, &mut faults);
+        let settings = Self::from_document(source, &document, &mut faults);
+        faults.sort();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(faults),
+        }
+    }
+
+    fn from_document(
+        source: &Source,
+        document: &Document,
+        faults: &mut Vec<Fault>,
+    ) -> Option<Self> {
+        let daemon = section(source, document, "daemon");
+        let platform = section(source, document, "platform");
+        let limits = section(source, document, "limits");
+        let spread = section(source, document, "spread");
+        let platform = read_platform(&platform, faults);
+        let (spread, hosts_ms) = read_spread(&spread, faults);
+        let limits = Limits::read(&limits, faults);
+        let mut fields = Fields::new(&daemon, faults);
+        let upstream = fields.name("upstream", "upstream");
+        let place = fields.name("place", "place");
+        let entry = fields.address("entry");
+        let link = fields.address("link");
+        let metrics = fields.address_opt("metrics");
+        let seeds = read_seeds(&mut fields);
+        let calls = fields.words("calls");
+        let threads = fields.number_or("threads", 2, 1..=64);
+        let level = fields.choice_or("log_level", LevelFilter::Info, LEVELS);
+        let withdraw_ms = fields.number_or("withdraw_ms", 1_000, 0..=MAX_MILLIS);
+        let stop_ms = fields.number_or("stop_ms", 30_000, 0..=MAX_MILLIS);
+        fields.finish();
+        Some(Self {
+            upstream: upstream?.as_str().into(),
+            place: place?.as_str().into(),
+            entry: entry?,
+            link: link?,
+            metrics,
+            platform: platform?,
+            seeds,
+            calls,
+            threads,
+            level,
+            withdraw_ms,
+            stop_ms,
+            head_ms: limits.head_ms,
+            piece_ms: limits.piece_ms,
+            held_body_bytes: limits.held_body_bytes,
+            streamed_body_bytes: limits.streamed_body_bytes,
+            head_bytes: limits.head_bytes,
+            ramp_ms: limits.ramp_ms,
+            ledger_tokens: limits.ledger_tokens,
+            token_ms: limits.token_ms,
+            spread,
+            hosts_ms,
+        })
+    }
+}
+
+/// Settings of the `[limits]` section.
+struct Limits {
+    head_ms: u64,
+    piece_ms: u64,
+    held_body_bytes: u64,
+    streamed_body_bytes: u64,
+    head_bytes: u64,
+    ramp_ms: u64,
+    ledger_tokens: u64,
+    token_ms: u64,
+}
+
+impl Limits {
+    fn read(section: &Section, faults: &mut Vec<Fault>) -> Self {
+        let mut fields = Fields::new(section, faults);
+        let limits = Self {
+            head_ms: fields.number_or("head_ms", 5_000, 10..=MAX_MILLIS),
+            piece_ms: fields.number_or("piece_ms", 10_000, 10..=MAX_MILLIS),
+            held_body_bytes: fields.number_or("held_body_bytes", 65_536, 0..=1_000_000),
+            streamed_body_bytes: fields.number_or("streamed_body_bytes", 8 << 30, 0..=u64::MAX),
+            head_bytes: fields.number_or("head_bytes", 32_768, 8_192..=262_144),
+            ramp_ms: fields.number_or("ramp_ms", 2_000, 0..=MAX_MILLIS),
+            ledger_tokens: fields.number_or("ledger_tokens", 65_536, 1..=1_000_000),
+            token_ms: fields.number_or("token_ms", 600_000, 1_000..=MAX_MILLIS),
+        };
+        fields.finish();
+        limits
+    }
+}
+
+fn read_platform(section: &Section, faults: &mut Vec<Fault>) -> Option<SocketAddr> {
+    let mut fields = Fields::new(section, faults);
+    let address = fields.address("address");
+    fields.finish();
+    address
+}
+
+fn read_spread(section: &Section, faults: &mut Vec<Fault>) -> (SpreadRule, u64) {
+    let default = SpreadRule::default();
+    let mut fields = Fields::new(section, faults);
+    let rule = SpreadRule {
+        readers: fields.number_or("readers", default.readers as u64, 1..=100) as usize,
+        fanout: fields.number_or("fanout", default.fanout as u64, 1..=20) as usize,
+        gossip_ms: fields.number_or("gossip_ms", default.gossip_ms, 20..=MAX_MILLIS),
+        idle_read_ms: fields.number_or("idle_read_ms", default.idle_read_ms, 20..=MAX_MILLIS),
+        retry_ms: fields.number_or("retry_ms", default.retry_ms, 10..=MAX_MILLIS),
+        max_retry_ms: fields.number_or("max_retry_ms", default.max_retry_ms, 10..=MAX_MILLIS),
+        start_ms: fields.number_or("start_ms", default.start_ms, 0..=MAX_MILLIS),
+        fetch_ms: fields.number_or("fetch_ms", default.fetch_ms, 10..=MAX_MILLIS),
+    };
+    let hosts_ms = fields.number_or("hosts_ms", 60_000, 20..=MAX_MILLIS);
+    fields.finish();
+    (rule, hosts_ms)
+}
+
+fn read_seeds(fields: &mut Fields<'_>) -> Vec<SocketAddr> {
+    let words = fields.words("seeds");
+    let mut seeds = Vec::new();
+    for word in &words {
+        match word.parse() {
+            Ok(seed) => seeds.push(seed),
+            Err(_) => fields.add_at(
+                "seeds",
+                format!("`{word}` is no address"),
+                "give IP numbers and ports, such as 127.0.0.1:9080",
+            ),
+        }
+    }
+    seeds
+}
+
+fn check_sections(document: &Document, faults: &mut Vec<Fault>) {
+    let known = ["daemon", "platform", "limits", "spread"];
+    for (index, section) in document.sections.iter().enumerate() {
+        if !known.contains(&section.kind.as_str()) || !section.name.is_empty() {
+            let wrong = format!("`[{}]` is no section of the settings", section.heading());
+            let right = format!("the known ones are: {}", known.join(", "));
+            faults.push(section.fault(section.line, wrong, right));
+        }
+        if document.sections[..index]
+            .iter()
+            .any(|s| s.kind == section.kind)
+        {
+            faults.push(section.fault(section.line, "the section is given twice", "keep one"));
+        }
+    }
+}
+
+/// Return the section, or an empty one, so that missing keys are reported.
+fn section(source: &Source, document: &Document, kind: &str) -> Section {
+    let found = document
+        .sections
+        .iter()
+        .find(|section| section.kind == kind);
+    found.cloned().unwrap_or_else(|| Section {
+        file: source.file.clone(),
+        line: 1,
+        kind: kind.to_owned(),
+        name: String::new(),
+        entries: Vec::new(),
+    })
+}
--- /dev/null
+++ b/crates/mustardtiller/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! The daemon's own settings.
+
+mod daemon;
+
+pub use daemon::Settings;
--- a/crates/mustardtillerd/src/main.rs
+++ b/crates/mustardtillerd/src/main.rs
@@ -1,2 +1,104 @@
-//! x
-fn main() {}
+//! The daemon beside each upstream.
+
+use std::fs;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use async_signal::Signal;
+use async_signal::Signals;
+use clap::Arg;
+use clap::ArgAction;
+use clap::Command;
+use mustardtiller::Daemon;
+use mustardtiller::Phase;
+use mustardtiller::Settings;
+use mustardtiller::config::Source;
+use mustardtiller::start_logger;
+use smol::stream::StreamExt;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Exit code for settings with faults.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Exit code for a daemon that could not start.
+const EXIT_START: u8 = 3;
+
+fn main() -> ExitCode {
+    abort_on_panic();
+    let matches = command().get_matches();
+    let path: &String = matches
+        .get_one("settings")
+        .expect("the argument is required");
+    let settings = match read_settings(path) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("{fault}");
+            }
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{path}: good");
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => {
+            eprintln!("mustardtillerd: {wrong}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("mustardtillerd")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Balances load between upstreams; one beside each of them")
+        .arg(
+            Arg::new("settings")
+                .required(true)
+                .value_name("FILE")
+                .help("The settings, in INI"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
+
+fn read_settings(path: &str) -> Result<Settings, Vec<String>> {
+    let text = fs::read_to_string(path).map_err(|e| vec![format!("{path}: {e}")])?;
+    let settings = Settings::read(&Source::new(path, text));
+    settings.map_err(|faults| faults.iter().map(ToString::to_string).collect())
+}
+
+fn run(settings: Settings) -> Result<(), String> {
+    start_logger(settings.level)?;
+    let mut random = [0; 16];
+    getrandom::fill(&mut random).map_err(|e| e.to_string())?;
+    let signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| e.to_string())?;
+    let daemon = Daemon::start(settings, u128::from_le_bytes(random)).map_err(|e| e.to_string())?;
+    let node = Arc::clone(daemon.node());
+    daemon.node().spawn(async move {
+        let mut signals = signals;
+        if signals.next().await.is_some() {
+            node.board.phase.advance(Phase::Withdrawn);
+        }
+    });
+    daemon.join();
+    Ok(())
+}
+
+/// Stop the process on a panic: it means a broken invariant.
+fn abort_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+}
