--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: test ci demo lint measure
+
+test:
+	cargo test --workspace
+
+ci:
+	bash .ci/run
+
+demo:
+	./demo
+
+lint:
+	cargo fmt --all --check && ci/style && cargo clippy --workspace --all-targets -- -D warnings
+
+measure:
+	./measure
--- a/crates/mustardtiller-cli/src/commands/sets.rs
+++ b/crates/mustardtiller-cli/src/commands/sets.rs
@@ -3,13 +3,12 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use mustardtiller_config::CheckError;
-use mustardtiller_config::ObjectSet;
-use mustardtiller_config::check_dir;
-
 use super::EXIT_FAULTS;
 use super::EXIT_FILES;
 use super::EXIT_STALE;
+use mustardtiller_config::CheckError;
+use mustardtiller_config::ObjectSet;
+use mustardtiller_config::check_dir;
 
 /// Read a set, or print its faults and return the exit code.
 pub fn read(dir: &str) -> Result<ObjectSet, ExitCode> {
@@ -18,7 +17,7 @@
             for fault in faults {
                 eprintln!("{fault}");
             }
-            eprintln!("{}: {e}", dir);
+            eprintln!("{dir}: {e}");
             return ExitCode::from(EXIT_FAULTS);
         }
         eprintln!("mustardtiller: {e}");
--- a/crates/mustardtiller-cli/src/commands/write.rs
+++ b/crates/mustardtiller-cli/src/commands/write.rs
@@ -5,11 +5,10 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use mustardtiller_config::Artefact;
-
 use super::EXIT_FAULTS;
 use super::EXIT_FILES;
 use super::sets;
+use mustardtiller_config::Artefact;
 
 /// Write the artefact of a set. Nothing is written if the set has faults.
 pub fn build(dir: &str, out: &str) -> ExitCode {
--- a/crates/mustardtiller-config/src/artefact/build.rs
+++ b/crates/mustardtiller-config/src/artefact/build.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use mustardtiller_core::Digest;
-use mustardtiller_core::Weigh;
 use serde::Serialize;
 
 use super::parts::CallerEntry;
@@ -28,6 +26,8 @@
 use crate::TokenRule;
 use crate::Upstream;
 use crate::digest_of;
+use mustardtiller_core::Digest;
+use mustardtiller_core::Weigh;
 
 /// Build the artefact of a checked set.
 ///
--- a/crates/mustardtiller-config/src/artefact/digest.rs
+++ b/crates/mustardtiller-config/src/artefact/digest.rs
@@ -1,9 +1,10 @@
 //! Content digests.
 
-use mustardtiller_core::Digest;
 use sha2::Digest as _;
 use sha2::Sha256;
 
+use mustardtiller_core::Digest;
+
 /// Bytes of a digest.
 const DIGEST_BYTES: usize = 16;
 
--- a/crates/mustardtiller-config/src/artefact/error.rs
+++ b/crates/mustardtiller-config/src/artefact/error.rs
@@ -20,7 +20,8 @@
 }
 
 /// An artefact that is not accepted.
-#[derive(Clone, Debug, Snafu)]
+#[derive(Clone, Debug)]
+#[derive(Snafu)]
 #[snafu(display("{context}"))]
 pub struct ArtefactError {
     kind: ArtefactErrorKind,
--- a/crates/mustardtiller-config/src/artefact/parts.rs
+++ b/crates/mustardtiller-config/src/artefact/parts.rs
@@ -9,7 +9,8 @@
 pub const FORMAT: u16 = 1;
 
 /// The list of the parts of one revision.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Manifest {
     /// The format of the manifest and the parts.
     pub format: u16,
@@ -22,7 +23,8 @@
 }
 
 /// What the manifest says of one service.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ManifestService {
     /// Its name.
     pub name: String,
@@ -33,7 +35,8 @@
 }
 
 /// What holds for the fleet as a whole.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct FleetPart {
     /// Places and their regions.
     pub places: Vec<PlaceEntry>,
@@ -44,7 +47,8 @@
 }
 
 /// A place.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PlaceEntry {
     /// Its name.
     pub name: String,
@@ -53,7 +57,8 @@
 }
 
 /// A path between two places.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PathEntry {
     /// Its name.
     pub name: String,
@@ -68,7 +73,8 @@
 }
 
 /// A caller.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CallerEntry {
     /// Its name.
     pub name: String,
@@ -77,7 +83,8 @@
 }
 
 /// One service with its kinds and upstreams.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ServicePart {
     /// Its name.
     pub name: String,
@@ -100,7 +107,8 @@
 }
 
 /// Whether a kind takes tokens.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum TokenEntry {
     /// Not looked at.
     Ignored,
@@ -111,7 +119,9 @@
 }
 
 /// A kind of request.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[expect(clippy::struct_excessive_bools, reason = "the operators' own flags")]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KindEntry {
     /// Its name.
     pub name: String,
@@ -138,7 +148,8 @@
 }
 
 /// An upstream.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct UpstreamEntry {
     /// Its name.
     pub name: String,
--- a/crates/mustardtiller-config/src/artefact/read.rs
+++ b/crates/mustardtiller-config/src/artefact/read.rs
@@ -5,11 +5,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use mustardtiller_core::Digest;
-use mustardtiller_core::PlaceName;
-use mustardtiller_core::ServiceName;
-use mustardtiller_core::Version;
-use mustardtiller_core::Weigh;
 use serde::de::DeserializeOwned;
 
 use super::parts::FORMAT;
@@ -30,6 +25,11 @@
 use crate::TokenRule;
 use crate::Upstream;
 use crate::digest_of;
+use mustardtiller_core::Digest;
+use mustardtiller_core::PlaceName;
+use mustardtiller_core::ServiceName;
+use mustardtiller_core::Version;
+use mustardtiller_core::Weigh;
 
 /// A manifest and those of its parts that are wanted.
 #[derive(Clone, Debug)]
@@ -111,7 +111,7 @@
 
     pub(crate) fn fleet(&self) -> Result<Fleet, ArtefactError> {
         let part: FleetPart = decode("fleet", self.part("fleet", self.manifest.fleet)?)?;
-        let fleet = fleet_from(part, self.manifest.revision);
+        let fleet = fleet_from(&part, self.manifest.revision);
         check_paths(&fleet)?;
         Ok(fleet)
     }
@@ -139,7 +139,7 @@
                     listed.name, part.name
                 )));
             }
-            let service = service_from(part);
+            let service = service_from(&part);
             check_service(&service, &places)?;
             for upstream in &service.upstreams {
                 if !links.insert(upstream.link) {
@@ -197,7 +197,7 @@
     }
 }
 
-fn fleet_from(part: FleetPart, revision: u64) -> Fleet {
+fn fleet_from(part: &FleetPart, revision: u64) -> Fleet {
     let places = part.places.iter().map(|place| Place {
         name: place.name.as_str().into(),
         region: Arc::from(place.region.as_str()),
@@ -221,7 +221,7 @@
     }
 }
 
-fn service_from(part: ServicePart) -> Service {
+fn service_from(part: &ServicePart) -> Service {
     Service {
         name: part.name.as_str().into(),
         hosts: part
--- a/crates/mustardtiller-config/src/ini/fields.rs
+++ b/crates/mustardtiller-config/src/ini/fields.rs
@@ -48,7 +48,7 @@
 
     /// Read a name of another object.
     pub fn name(&mut self, key: &'static str, what: &str) -> Option<String> {
-        let text = self.text(key, &format!("name a {what}"))?;
+        let text = self.text(key, &format!("give the name of its {what}"))?;
         if is_name(text) {
             return Some(text.to_owned());
         }
--- a/crates/mustardtiller-config/src/model/configuration.rs
+++ b/crates/mustardtiller-config/src/model/configuration.rs
@@ -3,12 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use mustardtiller_core::CallerName;
-use mustardtiller_core::PlaceName;
-use mustardtiller_core::ServiceName;
-use mustardtiller_core::UpstreamName;
-use mustardtiller_core::Version;
-
 use crate::Artefact;
 use crate::ArtefactError;
 use crate::Caller;
@@ -16,6 +10,11 @@
 use crate::Path;
 use crate::Service;
 use crate::Upstream;
+use mustardtiller_core::CallerName;
+use mustardtiller_core::PlaceName;
+use mustardtiller_core::ServiceName;
+use mustardtiller_core::UpstreamName;
+use mustardtiller_core::Version;
 
 /// A configuration that was accepted whole.
 #[derive(Clone, Debug)]
--- a/crates/mustardtiller-config/src/objects/check.rs
+++ b/crates/mustardtiller-config/src/objects/check.rs
@@ -23,7 +23,8 @@
 use crate::ini::suggestion;
 
 /// Why a directory could not be checked or did not pass.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum CheckError {
     /// A file or the directory could not be read.
     #[snafu(display("{path}: {source}"))]
--- a/crates/mustardtiller-config/src/objects/parse.rs
+++ b/crates/mustardtiller-config/src/objects/parse.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use mustardtiller_core::Weigh;
-
 use crate::Caller;
 use crate::Fault;
 use crate::Fields;
@@ -14,6 +12,7 @@
 use crate::Service;
 use crate::TokenRule;
 use crate::Upstream;
+use mustardtiller_core::Weigh;
 
 /// Words for what is weighed more.
 const WEIGH: &[(&str, Weigh)] = &[("latency", Weigh::Latency), ("cost", Weigh::Cost)];
--- a/crates/mustardtiller-core/src/fence/ledger.rs
+++ b/crates/mustardtiller-core/src/fence/ledger.rs
@@ -1,6 +1,6 @@
 //! A gate's memory of the tokens presented to it.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use crate::Incarnation;
@@ -69,7 +69,7 @@
     gate: Incarnation,
     limits: LedgerLimits,
     entries: HashMap<TokenId, Entry<A>>,
-    expiries: BTreeMap<(Instant, TokenId), ()>,
+    expiries: BTreeSet<(Instant, TokenId)>,
     floor: Option<Instant>,
 }
 
@@ -81,7 +81,7 @@
             gate,
             limits,
             entries: HashMap::new(),
-            expiries: BTreeMap::new(),
+            expiries: BTreeSet::new(),
             floor: None,
         }
     }
@@ -141,7 +141,7 @@
         }
         let state = Use::Running;
         self.entries.insert(token.id, Entry { request, state });
-        self.expiries.insert((self.expiry_of(token), token.id), ());
+        self.expiries.insert((self.expiry_of(token), token.id));
         Presented::Run
     }
 
@@ -156,12 +156,11 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        while let Some(first) = self.expiries.first_entry() {
-            let (at, id) = *first.key();
+        while let Some(&(at, id)) = self.expiries.first() {
             if at > now {
                 break;
             }
-            first.remove();
+            self.expiries.pop_first();
             self.entries.remove(&id);
         }
     }
--- a/crates/mustardtiller-core/src/outcome/attempt.rs
+++ b/crates/mustardtiller-core/src/outcome/attempt.rs
@@ -14,7 +14,6 @@
 
 impl Attempt {
     /// Begin an attempt of which nothing has been sent.
-    #[must_use]
     pub const fn begin() -> Unsent {
         Unsent(())
     }
--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -6,6 +6,10 @@
 use crate::Refusal;
 
 /// What is known of a request when one of its attempts was refused.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "four facts that are independent"
+)]
 #[derive(Clone, Copy, Debug)]
 pub struct RetryContext {
     /// The kind is idempotent: running it twice does no harm.
--- a/crates/mustardtiller-standin/src/bin/standin-load.rs
+++ b/crates/mustardtiller-standin/src/bin/standin-load.rs
@@ -6,6 +6,7 @@
 use clap::Arg;
 use clap::Command;
 use clap::value_parser;
+
 use mustardtiller_standin::LoadPlan;
 use mustardtiller_standin::LoadReport;
 use mustardtiller_standin::Runner;
--- a/crates/mustardtiller-standin/src/bin/standin-platform.rs
+++ b/crates/mustardtiller-standin/src/bin/standin-platform.rs
@@ -7,6 +7,7 @@
 
 use clap::Arg;
 use clap::Command;
+
 use mustardtiller_standin::Runner;
 use mustardtiller_standin::StandinPlatform;
 
--- a/crates/mustardtiller-standin/src/bin/standin-upstream.rs
+++ b/crates/mustardtiller-standin/src/bin/standin-upstream.rs
@@ -10,12 +10,13 @@
 use clap::Arg;
 use clap::Command;
 use clap::value_parser;
+use smol::Timer;
+use smol::stream::StreamExt;
+
 use mustardtiller_standin::Runner;
 use mustardtiller_standin::StandinUpstream;
 use mustardtiller_standin::UpstreamPlan;
 use mustardtiller_standin::UpstreamRecord;
-use smol::Timer;
-use smol::stream::StreamExt;
 
 /// Time between two looks at what is in flight, in milliseconds.
 const LOOK_MS: u64 = 20;
--- a/crates/mustardtiller-standin/src/client/call.rs
+++ b/crates/mustardtiller-standin/src/client/call.rs
@@ -40,8 +40,8 @@
 
     /// Add a header.
     #[must_use]
-    pub fn header(mut self, name: &str, value: impl ToString) -> Self {
-        self.headers.push((name.to_owned(), value.to_string()));
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.push((name.to_owned(), value.into()));
         self
     }
 
--- a/crates/mustardtiller-standin/src/load/run.rs
+++ b/crates/mustardtiller-standin/src/load/run.rs
@@ -9,7 +9,6 @@
 use async_channel::Sender;
 use async_channel::unbounded;
 use data_encoding::HEXLOWER;
-use mustardtiller::config::digest_of;
 use smol::Executor;
 use smol::Timer;
 
@@ -20,6 +19,7 @@
 use crate::content;
 use crate::http_call;
 use crate::open_connection;
+use mustardtiller::config::digest_of;
 
 /// Calls under way at once, each on a connection of its own.
 const WORKERS: usize = 256;
@@ -130,7 +130,7 @@
             let bytes = content(job.number, plan.upload_bytes);
             let expected = format!("stored {key} {}\n", HEXLOWER.encode(&digest_of(&bytes).0));
             let call = HttpCall::new("POST", &plan.upload_host, "/upload");
-            (call.header("x-key", &key).body(bytes), expected)
+            (call.header("x-key", key.clone()).body(bytes), expected)
         }
     };
     let keep = matches!(job.kind, Kind::Browse);
--- a/crates/mustardtiller-standin/src/platform/service.rs
+++ b/crates/mustardtiller-standin/src/platform/service.rs
@@ -17,13 +17,13 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use mustardtiller::config::Artefact;
 use smol::Timer;
 use smol::future;
 use smol::net::TcpListener;
 use smol_hyper::rt::FuturesIo;
 
 use crate::Runner;
+use mustardtiller::config::Artefact;
 
 /// Time between two looks at a watched value, in milliseconds.
 const LOOK_MS: u64 = 5;
--- a/crates/mustardtiller-standin/src/runner.rs
+++ b/crates/mustardtiller-standin/src/runner.rs
@@ -43,7 +43,6 @@
     }
 
     /// Run a task that ends when its handle is dropped.
-    #[must_use]
     pub fn spawn_task<T: Send + 'static>(
         &self,
         task: impl Future<Output = T> + Send + 'static,
--- a/crates/mustardtiller-standin/src/upstream/server.rs
+++ b/crates/mustardtiller-standin/src/upstream/server.rs
@@ -29,7 +29,6 @@
 use hyper::body::SizeHint;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use mustardtiller::config::digest_of;
 use smol::Executor;
 use smol::Task;
 use smol::Timer;
@@ -43,6 +42,7 @@
 use super::plan::UpstreamPlan;
 use super::record::UpstreamRecord;
 use crate::Runner;
+use mustardtiller::config::digest_of;
 
 /// Bytes in one piece of a long answer.
 const PIECE_BYTES: usize = 64 * 1024;
--- a/crates/mustardtiller-wire/src/codec/error.rs
+++ b/crates/mustardtiller-wire/src/codec/error.rs
@@ -12,7 +12,8 @@
 }
 
 /// Bytes that are no message.
-#[derive(Clone, Debug, Snafu)]
+#[derive(Clone, Debug)]
+#[derive(Snafu)]
 #[snafu(display("{context}"))]
 pub struct WireError {
     kind: WireErrorKind,
--- a/crates/mustardtiller-wire/src/frame/head.rs
+++ b/crates/mustardtiller-wire/src/frame/head.rs
@@ -1,15 +1,17 @@
 //! The heads of requests and answers.
 
 use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
 use mustardtiller_core::Incarnation;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Token;
 use mustardtiller_core::TokenId;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// One header of a request or an answer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Header {
     /// Its name, in lower case.
     pub name: String,
@@ -18,7 +20,8 @@
 }
 
 /// How the body of a request travels.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum BodyForm {
     /// There is none.
     Empty,
@@ -32,7 +35,8 @@
 }
 
 /// A token as it travels.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TokenForm {
     /// The upstream.
     pub upstream: String,
@@ -73,7 +77,8 @@
 }
 
 /// The head of a request.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RequestHead {
     /// The upstream that it is meant for.
     pub upstream: String,
@@ -104,7 +109,8 @@
 }
 
 /// The head of an answer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct AnswerHead {
     /// The HTTP status.
     pub status: u16,
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -1,20 +1,21 @@
 //! The frames themselves.
 
 use bytes::Bytes;
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::UnknownReason;
-use mustardtiller_core::Verdict;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::head::AnswerHead;
 use super::head::RequestHead;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::UnknownReason;
+use mustardtiller_core::Verdict;
 
 /// The version of the link protocol that this program speaks.
 pub const PROTOCOL_VERSION: u16 = 1;
 
 /// The first frame of the side that opened the link.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Hello {
     /// The protocol version.
     pub version: u16,
@@ -25,7 +26,8 @@
 }
 
 /// The first frame of the other side.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Welcome {
     /// The protocol version.
     pub version: u16,
@@ -40,7 +42,8 @@
 }
 
 /// The load of an upstream as its gate knows it.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadReport {
     /// Requests running or waiting.
     pub in_flight: u32,
@@ -53,7 +56,8 @@
 }
 
 /// A gate's verdict on a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum VerdictForm {
     /// It did not run; the code of a [`NotRunReason`].
     NotRun(u8),
@@ -85,7 +89,8 @@
 ///
 /// Each stream ends with exactly one `Refused`, `AnswerEnd` or `AnswerCut`
 /// from the gate, also after `Cancel`.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Frame {
     /// Opens a link.
     Hello(Hello),
--- a/crates/mustardtiller-wire/src/gossip/datagram.rs
+++ b/crates/mustardtiller-wire/src/gossip/datagram.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// The version of a configuration that a daemon holds.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Advert {
     /// The revision; zero for none.
     pub revision: u64,
@@ -13,7 +14,8 @@
 }
 
 /// A message in one datagram.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Datagram {
     /// The sender holds this version and asks for nothing.
     Have {
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -3,6 +3,11 @@
 use std::sync::Arc;
 
 use event_listener::Event;
+
+use crate::board::GateState;
+use crate::board::PhaseCell;
+use crate::board::Routes;
+use crate::board::Snapshot;
 use mustardtiller_config::Artefact;
 use mustardtiller_config::Configuration;
 use mustardtiller_core::HostList;
@@ -10,11 +15,6 @@
 use mustardtiller_core::PlaceName;
 use mustardtiller_core::UpstreamName;
 
-use crate::board::GateState;
-use crate::board::PhaseCell;
-use crate::board::Routes;
-use crate::board::Snapshot;
-
 /// Who this process is. Never changes.
 #[derive(Clone, Debug)]
 pub struct Identity {
--- a/crates/mustardtiller/src/board/candidate.rs
+++ b/crates/mustardtiller/src/board/candidate.rs
@@ -2,14 +2,13 @@
 
 use std::sync::Arc;
 
+use crate::board::Signals;
+use crate::link::LinkSlot;
 use mustardtiller_config::Upstream;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Sample;
 use mustardtiller_core::ServiceName;
 
-use crate::board::Signals;
-use crate::link::LinkSlot;
-
 /// An upstream that requests may be sent to. Written by the routes controller.
 #[derive(Debug)]
 pub struct Candidate {
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -5,13 +5,12 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use crate::board::CallerUses;
+use crate::board::Snapshot;
 use mustardtiller_core::Instant;
 use mustardtiller_core::LimiterWindow;
 use mustardtiller_wire::LoadReport;
 
-use crate::board::CallerUses;
-use crate::board::Snapshot;
-
 /// The gate's state.
 ///
 /// `limit` is written by the limiter controller, the leaving flags by the
--- a/crates/mustardtiller/src/board/routes.rs
+++ b/crates/mustardtiller/src/board/routes.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::board::Candidate;
 use mustardtiller_config::Kind;
 use mustardtiller_config::Service;
 use mustardtiller_core::EjectionRule;
@@ -10,8 +11,6 @@
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::UpstreamName;
 
-use crate::board::Candidate;
-
 /// One service with the upstreams that this entry may choose.
 #[derive(Debug)]
 pub struct ServiceRoutes {
--- a/crates/mustardtiller/src/clock/monotonic.rs
+++ b/crates/mustardtiller/src/clock/monotonic.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Instant;
 use smol::Timer;
 use smol::future;
 
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Instant;
+
 /// The monotonic clock of one process; its epoch is its creation.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -6,15 +6,6 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_channel::unbounded;
-use mustardtiller_config::Artefact;
-use mustardtiller_config::ArtefactError;
-use mustardtiller_config::Configuration;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Digest;
-use mustardtiller_core::Spread;
-use mustardtiller_core::SpreadEffect;
-use mustardtiller_core::SpreadEvent;
-use mustardtiller_core::Version;
 use smol::future;
 use snafu::Snafu;
 
@@ -25,9 +16,19 @@
 use crate::metrics::Counted;
 use crate::platform::PlatformError;
 use crate::platform::PlatformSource;
+use mustardtiller_config::Artefact;
+use mustardtiller_config::ArtefactError;
+use mustardtiller_config::Configuration;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Digest;
+use mustardtiller_core::Spread;
+use mustardtiller_core::SpreadEffect;
+use mustardtiller_core::SpreadEvent;
+use mustardtiller_core::Version;
 
 /// Why a configuration did not come.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 enum FetchError {
     #[snafu(display("{source}"))]
     Platform { source: PlatformError },
@@ -111,9 +112,8 @@
                 }
             };
             let next = future::or(brought, future::or(heard, ticked)).await;
-            if let Some(event) = self.take(next) {
-                self.step(event, &mut rng).await;
-            }
+            let event = self.take(next);
+            self.step(event, &mut rng).await;
         }
     }
 
@@ -142,9 +142,12 @@
 
     /// Count and log offers that are not taken.
     fn count_odd(&self, event: SpreadEvent) {
-        let offered = match event {
-            SpreadEvent::PeerHas { version, .. } | SpreadEvent::PlatformHas(version) => version,
-            _ => return,
+        let (SpreadEvent::PeerHas {
+            version: offered, ..
+        }
+        | SpreadEvent::PlatformHas(offered)) = event
+        else {
+            return;
         };
         let held = self.spread.held();
         if offered.conflicts_with(&held) && offered.revision > 0 {
@@ -157,12 +160,12 @@
     }
 
     /// Turn what a task brought into an event.
-    fn take(&mut self, brought: Brought) -> Option<SpreadEvent> {
+    fn take(&mut self, brought: Brought) -> SpreadEvent {
         match brought {
-            Brought::Event(event) => Some(event),
-            Brought::Unchanged => Some(SpreadEvent::PlatformHas(self.offered)),
-            Brought::Manifest { bytes, tag } => Some(self.take_manifest(bytes, tag)),
-            Brought::Fetched(artefact) => Some(self.accept(*artefact)),
+            Brought::Event(event) => event,
+            Brought::Unchanged => SpreadEvent::PlatformHas(self.offered),
+            Brought::Manifest { bytes, tag } => self.take_manifest(bytes, tag),
+            Brought::Fetched(artefact) => self.accept(*artefact),
         }
     }
 
--- a/crates/mustardtiller/src/controllers/health.rs
+++ b/crates/mustardtiller/src/controllers/health.rs
@@ -2,14 +2,13 @@
 
 use std::sync::Arc;
 
-use mustardtiller_core::Instant;
-use mustardtiller_core::may_eject;
-
 use crate::board::Candidate;
 use crate::board::ServiceRoutes;
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::metrics::Counted;
+use mustardtiller_core::Instant;
+use mustardtiller_core::may_eject;
 
 /// Look at error rates whenever a request has found one high.
 pub async fn control_health(node: Arc<Node>) {
--- a/crates/mustardtiller/src/controllers/hosts.rs
+++ b/crates/mustardtiller/src/controllers/hosts.rs
@@ -2,14 +2,13 @@
 
 use std::sync::Arc;
 
-use mustardtiller_core::HostList;
-use mustardtiller_core::MemberState;
-
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::metrics::Counted;
 use crate::platform::PlatformSource;
 use crate::platform::parse_hosts;
+use mustardtiller_core::HostList;
+use mustardtiller_core::MemberState;
 
 /// Longest wait after a failed read, in milliseconds.
 const MAX_RETRY_MS: u64 = 5_000;
--- a/crates/mustardtiller/src/controllers/leave.rs
+++ b/crates/mustardtiller/src/controllers/leave.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use mustardtiller_core::Deadline;
-use mustardtiller_core::MeasureBudget;
 use smol::future;
 
 use crate::board::Phase;
@@ -13,6 +11,8 @@
 use crate::upstream::Measured;
 use crate::upstream::UpstreamState;
 use crate::upstream::measure;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::MeasureBudget;
 
 /// Measure the upstream as often as its service's budget allows.
 ///
--- a/crates/mustardtiller/src/controllers/limiter.rs
+++ b/crates/mustardtiller/src/controllers/limiter.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use mustardtiller_core::Limiter;
-use mustardtiller_core::LimiterBounds;
 use smol::future;
 
 use crate::daemon::Node;
+use mustardtiller_core::Limiter;
+use mustardtiller_core::LimiterBounds;
 
 /// Time between two steps, in milliseconds.
 const STEP_MS: u64 = 100;
--- a/crates/mustardtiller/src/controllers/links.rs
+++ b/crates/mustardtiller/src/controllers/links.rs
@@ -3,13 +3,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use mustardtiller_core::SilenceEffect;
-use mustardtiller_core::SilenceRule;
-use mustardtiller_core::SilenceWatch;
-
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::metrics::Counted;
+use mustardtiller_core::SilenceEffect;
+use mustardtiller_core::SilenceRule;
+use mustardtiller_core::SilenceWatch;
 
 /// Time between two rounds, in milliseconds.
 const ROUND_MS: u64 = 250;
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -3,14 +3,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use mustardtiller_config::Configuration;
-use mustardtiller_config::Service;
-use mustardtiller_config::Upstream;
-use mustardtiller_core::HostList;
-use mustardtiller_core::MemberState;
-use mustardtiller_core::RetryBudget;
-use mustardtiller_core::UpstreamName;
-use mustardtiller_core::subset;
 use smol::future;
 
 use crate::board::Candidate;
@@ -20,6 +12,14 @@
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::link::LinkSlot;
+use mustardtiller_config::Configuration;
+use mustardtiller_config::Service;
+use mustardtiller_config::Upstream;
+use mustardtiller_core::HostList;
+use mustardtiller_core::MemberState;
+use mustardtiller_core::RetryBudget;
+use mustardtiller_core::UpstreamName;
+use mustardtiller_core::subset;
 
 /// Retries or hedges that one service may store.
 const BUDGET_CAP: u32 = 10;
--- a/crates/mustardtiller/src/controllers/stop.rs
+++ b/crates/mustardtiller/src/controllers/stop.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
-use mustardtiller_core::Deadline;
-
 use crate::board::Phase;
 use crate::daemon::Node;
 use crate::events::Event;
+use mustardtiller_core::Deadline;
 
 /// Time between two looks at what is in flight, in milliseconds.
 const LOOK_MS: u64 = 20;
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -6,8 +6,6 @@
 use std::sync::atomic::Ordering;
 
 use event_listener::Event as Signal;
-use mustardtiller_config::Upstream;
-use mustardtiller_wire::LoadReport;
 use smol::Executor;
 use smol::Task;
 
@@ -22,6 +20,8 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::upstream::UpstreamPool;
+use mustardtiller_config::Upstream;
+use mustardtiller_wire::LoadReport;
 
 /// Odd number that spreads seeds (2^64 divided by the golden ratio).
 const SEED_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -8,8 +8,6 @@
 use async_channel::Sender;
 use async_channel::bounded;
 use event_listener::Event as Signal;
-use mustardtiller_core::HostList;
-use mustardtiller_core::Incarnation;
 use smol::Executor;
 use smol::net::TcpListener;
 use snafu::ResultExt;
@@ -37,9 +35,12 @@
 use crate::platform::HttpPlatform;
 use crate::platform::PlatformSource;
 use crate::settings::Settings;
+use mustardtiller_core::HostList;
+use mustardtiller_core::Incarnation;
 
 /// Why a daemon did not start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum StartError {
     /// An address could not be bound.
     #[snafu(display("{what} {address}: {source}"))]
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -3,19 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use mustardtiller_config::Kind;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::NotRun;
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::Refusal;
-use mustardtiller_core::Sent;
-use mustardtiller_core::UnknownReason;
-use mustardtiller_core::Unsent;
-use mustardtiller_core::Verdict;
-use mustardtiller_wire::AnswerHead;
-use mustardtiller_wire::BodyForm;
-use mustardtiller_wire::RequestHead;
-use mustardtiller_wire::TokenForm;
 use smol::future;
 
 use crate::board::Candidate;
@@ -29,6 +16,19 @@
 use crate::entry::call::InFlight;
 use crate::link::ClientStream;
 use crate::link::Reply;
+use mustardtiller_config::Kind;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::NotRun;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::Sent;
+use mustardtiller_core::UnknownReason;
+use mustardtiller_core::Unsent;
+use mustardtiller_core::Verdict;
+use mustardtiller_wire::AnswerHead;
+use mustardtiller_wire::BodyForm;
+use mustardtiller_wire::RequestHead;
+use mustardtiller_wire::TokenForm;
 
 /// Status from which an answer counts as an upstream's error.
 const ERROR_STATUS: u16 = 500;
--- a/crates/mustardtiller/src/entry/call.rs
+++ b/crates/mustardtiller/src/entry/call.rs
@@ -3,6 +3,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+
+use crate::board::Candidate;
+use crate::body::PieceSource;
+use crate::clock::Clock;
+use crate::link::AnswerBody;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Refusal;
@@ -11,11 +16,6 @@
 use mustardtiller_wire::AnswerHead;
 use mustardtiller_wire::Header;
 
-use crate::board::Candidate;
-use crate::body::PieceSource;
-use crate::clock::Clock;
-use crate::link::AnswerBody;
-
 /// A call as a front end hands it over.
 #[derive(Debug)]
 pub struct Call {
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -2,18 +2,6 @@
 
 use std::sync::Arc;
 
-use mustardtiller_config::Kind;
-use mustardtiller_config::TokenRule;
-use mustardtiller_core::Attempt;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::Policy;
-use mustardtiller_core::Refusal;
-use mustardtiller_core::RetryContext;
-use mustardtiller_core::Token;
-use mustardtiller_core::UnknownReason;
-use mustardtiller_core::UpstreamName;
-use mustardtiller_core::retry_reason;
 use smallvec::SmallVec;
 
 use crate::board::Candidate;
@@ -30,6 +18,18 @@
 use crate::entry::pick::pick;
 use crate::link::keep_link;
 use crate::metrics::Counted;
+use mustardtiller_config::Kind;
+use mustardtiller_config::TokenRule;
+use mustardtiller_core::Attempt;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Policy;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::RetryContext;
+use mustardtiller_core::Token;
+use mustardtiller_core::UnknownReason;
+use mustardtiller_core::UpstreamName;
+use mustardtiller_core::retry_reason;
 
 /// Time that a call waits for the first link of a service, in milliseconds.
 const LINK_WAIT_MS: u64 = 1_000;
--- a/crates/mustardtiller/src/entry/hedge.rs
+++ b/crates/mustardtiller/src/entry/hedge.rs
@@ -2,9 +2,6 @@
 
 use std::sync::Arc;
 
-use mustardtiller_core::Attempt;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Policy;
 use smol::future;
 
 use crate::board::Candidate;
@@ -17,6 +14,9 @@
 use crate::entry::call::CallBody;
 use crate::entry::pick::pick;
 use crate::metrics::Counted;
+use mustardtiller_core::Attempt;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Policy;
 
 /// Smoothed latencies of the first candidate after which a hedge is sent.
 const HEDGE_AFTER_LATENCIES: u64 = 3;
--- a/crates/mustardtiller/src/entry/pick.rs
+++ b/crates/mustardtiller/src/entry/pick.rs
@@ -2,15 +2,15 @@
 
 use std::sync::Arc;
 
+use smallvec::SmallVec;
+
+use crate::board::Candidate;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Policy;
 use mustardtiller_core::Sample;
 use mustardtiller_core::Standing;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::choose;
-use smallvec::SmallVec;
-
-use crate::board::Candidate;
 
 /// Candidates sampled without allocating.
 const SAMPLES_ON_STACK: usize = 32;
--- a/crates/mustardtiller/src/entry/token.rs
+++ b/crates/mustardtiller/src/entry/token.rs
@@ -4,15 +4,15 @@
 use std::sync::Arc;
 
 use data_encoding::BASE64URL_NOPAD;
-use mustardtiller_core::Policy;
-use mustardtiller_core::Token;
-use mustardtiller_core::TokenId;
-use mustardtiller_wire::TokenForm;
 
 use crate::board::ServiceRoutes;
 use crate::daemon::Node;
 use crate::entry::pick;
 use crate::metrics::Counted;
+use mustardtiller_core::Policy;
+use mustardtiller_core::Token;
+use mustardtiller_core::TokenId;
+use mustardtiller_wire::TokenForm;
 
 /// Longest text of a token, in bytes.
 const MAX_TOKEN_TEXT: usize = 512;
@@ -23,6 +23,10 @@
 
 impl TokenText {
     /// Write a token as text.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a token can't be encoded, which is a broken invariant.
     #[must_use]
     pub fn write(token: &Token) -> Self {
         let form = TokenForm::from(token);
--- a/crates/mustardtiller/src/front/answer.rs
+++ b/crates/mustardtiller/src/front/answer.rs
@@ -3,9 +3,6 @@
 use std::sync::Arc;
 
 use hyper::Response;
-use mustardtiller_core::Attempt;
-use mustardtiller_core::Refusal;
-use mustardtiller_core::UnknownReason;
 
 use super::body::AnswerStream;
 use super::refusal::OUTCOME_HEADER;
@@ -18,6 +15,9 @@
 use crate::entry::TokenText;
 use crate::events::Event;
 use crate::metrics::Counted;
+use mustardtiller_core::Attempt;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::UnknownReason;
 
 /// Turn the outcome of a call into a response.
 pub fn outcome_response(
--- a/crates/mustardtiller/src/front/body.rs
+++ b/crates/mustardtiller/src/front/body.rs
@@ -11,12 +11,12 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
-use mustardtiller_core::UnknownReason;
 use smol::Timer;
 
 use crate::body::BodyCut;
 use crate::body::PieceSource;
 use crate::entry::AnswerPieces;
+use mustardtiller_core::UnknownReason;
 
 /// A caller's body, read only once it is wanted.
 #[derive(Debug)]
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -2,12 +2,12 @@
 
 use bytes::Bytes;
 use hyper::Response;
+
+use super::body::AnswerStream;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::UnknownReason;
 
-use super::body::AnswerStream;
-
 /// Says whether the request ran: `answered`, `not-run` or `unknown`.
 pub const OUTCOME_HEADER: &str = "mustardtiller-outcome";
 
--- a/crates/mustardtiller/src/front/request.rs
+++ b/crates/mustardtiller/src/front/request.rs
@@ -11,9 +11,6 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
 use hyper::header::TRANSFER_ENCODING;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::Token;
 
 use super::body::CallerBody;
 use crate::daemon::Node;
@@ -24,6 +21,9 @@
 use crate::upstream::DEPTH_HEADER;
 use crate::upstream::RETRIED_HEADER;
 use crate::upstream::end_to_end;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Token;
 
 /// Time that a caller gives a request, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "mustardtiller-timeout-ms";
--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -12,9 +12,6 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use mustardtiller_config::TokenRule;
-use mustardtiller_core::Attempt;
-use mustardtiller_core::NotRunReason;
 use smol::future;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
@@ -36,6 +33,9 @@
 use crate::entry::dispatch;
 use crate::entry::mint_token;
 use crate::events::Event;
+use mustardtiller_config::TokenRule;
+use mustardtiller_core::Attempt;
+use mustardtiller_core::NotRunReason;
 
 /// Where callers get a token.
 const TOKEN_PATH: &str = "/.well-known/mustardtiller/token";
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -7,18 +7,18 @@
 use async_channel::bounded;
 use async_channel::unbounded;
 use event_listener::Event;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::Queued;
-use mustardtiller_core::Urgency;
-use mustardtiller_core::WaitQueue;
-use mustardtiller_core::Waiter;
 use smol::future;
 
 use crate::board::CallerUse;
 use crate::daemon::Node;
 use crate::gate::GateRequest;
 use crate::metrics::Counted;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Queued;
+use mustardtiller_core::Urgency;
+use mustardtiller_core::WaitQueue;
+use mustardtiller_core::Waiter;
 
 /// Waiters a slot, in the gate's queue.
 const WAITERS_PER_SLOT: u32 = 2;
--- a/crates/mustardtiller/src/gate/ledger.rs
+++ b/crates/mustardtiller/src/gate/ledger.rs
@@ -7,6 +7,9 @@
 use async_channel::bounded;
 use async_channel::unbounded;
 use bytes::Bytes;
+
+use crate::daemon::Node;
+use crate::events::Event;
 use mustardtiller_core::Ledger;
 use mustardtiller_core::LedgerLimits;
 use mustardtiller_core::NotRunReason;
@@ -17,9 +20,6 @@
 use mustardtiller_core::Verdict;
 use mustardtiller_wire::AnswerHead;
 
-use crate::daemon::Node;
-use crate::events::Event;
-
 /// An answer that is kept for repeats.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KeptAnswer {
--- a/crates/mustardtiller/src/gate/request.rs
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -1,15 +1,15 @@
 //! Requests and answers at the gate, free of any encoding.
 
 use bytes::Bytes;
+
+use crate::body::PieceSource;
+use crate::upstream::UpstreamBody;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Token;
 use mustardtiller_core::Verdict;
 use mustardtiller_wire::AnswerHead;
 use mustardtiller_wire::Header;
 
-use crate::body::PieceSource;
-use crate::upstream::UpstreamBody;
-
 /// A request for the upstream beside this daemon.
 #[derive(Debug)]
 pub struct GateRequest {
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -5,14 +5,6 @@
 use std::hash::Hasher;
 use std::sync::Arc;
 
-use mustardtiller_core::Attempt;
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::Presented;
-use mustardtiller_core::Refusal;
-use mustardtiller_core::Token;
-use mustardtiller_core::Unsent;
-use mustardtiller_core::Verdict;
-
 use crate::daemon::Node;
 use crate::gate::GateAnswer;
 use crate::gate::GateBody;
@@ -20,6 +12,13 @@
 use crate::gate::KeptAnswer;
 use crate::metrics::Counted;
 use crate::upstream::exchange;
+use mustardtiller_core::Attempt;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Presented;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::Token;
+use mustardtiller_core::Unsent;
+use mustardtiller_core::Verdict;
 
 /// Largest answer that is kept for repeats, in bytes.
 const KEPT_ANSWER_BYTES: usize = 8 * 1024;
--- a/crates/mustardtiller/src/gossip/socket.rs
+++ b/crates/mustardtiller/src/gossip/socket.rs
@@ -3,6 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use smol::net::UdpSocket;
+
+use crate::events::Event;
+use crate::metrics::Counted;
+use crate::metrics::Metrics;
 use mustardtiller_core::Digest;
 use mustardtiller_core::Version;
 use mustardtiller_wire::Advert;
@@ -10,11 +15,6 @@
 use mustardtiller_wire::MAX_DATAGRAM_BYTES;
 use mustardtiller_wire::decode_datagram;
 use mustardtiller_wire::encode_datagram;
-use smol::net::UdpSocket;
-
-use crate::events::Event;
-use crate::metrics::Counted;
-use crate::metrics::Metrics;
 
 /// Sends and receives what daemons tell one another.
 #[derive(Debug)]
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -12,18 +12,6 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_channel::unbounded;
-use mustardtiller_core::ClockOffset;
-use mustardtiller_core::ClockSample;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Incarnation;
-use mustardtiller_core::Instant;
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::Sent;
-use mustardtiller_core::UnknownReason;
-use mustardtiller_core::Unsent;
-use mustardtiller_wire::Frame;
-use mustardtiller_wire::LoadReport;
-use mustardtiller_wire::RequestHead;
 
 use super::credit::SendCredit;
 use super::inbox::Delivery;
@@ -37,6 +25,18 @@
 use crate::clock::Clock;
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
+use mustardtiller_core::ClockOffset;
+use mustardtiller_core::ClockSample;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Incarnation;
+use mustardtiller_core::Instant;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Sent;
+use mustardtiller_core::UnknownReason;
+use mustardtiller_core::Unsent;
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::LoadReport;
+use mustardtiller_wire::RequestHead;
 
 /// Streams that one link carries at once.
 const MAX_STREAMS: u32 = 1_024;
--- a/crates/mustardtiller/src/link/fetch.rs
+++ b/crates/mustardtiller/src/link/fetch.rs
@@ -2,15 +2,15 @@
 
 use std::net::SocketAddr;
 
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Digest;
-use mustardtiller_wire::Frame;
-use mustardtiller_wire::encode_frame;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 
 use super::handshake;
 use crate::daemon::Node;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Digest;
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::encode_frame;
 
 /// Fetch values from a peer over a connection of its own.
 ///
--- a/crates/mustardtiller/src/link/handshake.rs
+++ b/crates/mustardtiller/src/link/handshake.rs
@@ -1,12 +1,5 @@
 //! The first frames of a link.
 
-use mustardtiller_core::ClockSample;
-use mustardtiller_core::Instant;
-use mustardtiller_wire::Frame;
-use mustardtiller_wire::Hello;
-use mustardtiller_wire::PROTOCOL_VERSION;
-use mustardtiller_wire::Welcome;
-use mustardtiller_wire::encode_frame;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use snafu::Snafu;
@@ -16,9 +9,17 @@
 use crate::board::Board;
 use crate::board::Phase;
 use crate::clock::Clock;
+use mustardtiller_core::ClockSample;
+use mustardtiller_core::Instant;
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::Hello;
+use mustardtiller_wire::PROTOCOL_VERSION;
+use mustardtiller_wire::Welcome;
+use mustardtiller_wire::encode_frame;
 
 /// Why no link came up.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum HandshakeError {
     /// The connection could not be made or failed.
     #[snafu(display("{source}"))]
--- a/crates/mustardtiller/src/link/inbox.rs
+++ b/crates/mustardtiller/src/link/inbox.rs
@@ -11,12 +11,12 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_channel::unbounded;
-use mustardtiller_wire::Frame;
 use smol::stream::Stream;
 
 use super::credit::PIECE_BYTES;
 use super::credit::WINDOW_BYTES;
 use super::outlet::Outlet;
+use mustardtiller_wire::Frame;
 
 /// What became of a delivered frame.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/mustardtiller/src/link/keeper.rs
+++ b/crates/mustardtiller/src/link/keeper.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Incarnation;
 use smol::net::TcpStream;
 
 use super::client::LinkEnd;
@@ -18,6 +16,8 @@
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::metrics::Counted;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Incarnation;
 
 /// Time to connect and shake hands, in milliseconds.
 const CONNECT_MS: u64 = 1_000;
--- a/crates/mustardtiller/src/link/outlet.rs
+++ b/crates/mustardtiller/src/link/outlet.rs
@@ -8,12 +8,13 @@
 use async_channel::Sender;
 use async_channel::unbounded;
 use event_listener::Event;
-use mustardtiller_wire::Frame;
-use mustardtiller_wire::encode_frame;
 use smol::future;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::encode_frame;
+
 /// Bytes of bodies queued on one link before their senders wait.
 const MAX_BULK_BYTES: usize = 128 * 1024;
 
--- a/crates/mustardtiller/src/link/reader.rs
+++ b/crates/mustardtiller/src/link/reader.rs
@@ -1,17 +1,19 @@
 //! Frames from a socket.
 
-use mustardtiller_wire::Frame;
-use mustardtiller_wire::FrameReader;
-use mustardtiller_wire::WireError;
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 use snafu::Snafu;
 
+use mustardtiller_wire::Frame;
+use mustardtiller_wire::FrameReader;
+use mustardtiller_wire::WireError;
+
 /// Bytes read at once.
 const READ_BYTES: usize = 64 * 1024;
 
 /// Why no further frame comes.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum ReadError {
     /// The connection ended.
     #[snafu(display("connection ended"))]
--- a/crates/mustardtiller/src/link/stream.rs
+++ b/crates/mustardtiller/src/link/stream.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use mustardtiller_core::UnknownReason;
-use mustardtiller_core::Verdict;
-use mustardtiller_wire::AnswerHead;
-use mustardtiller_wire::Frame;
 
 use super::client::LinkHandle;
 use super::credit::PIECE_BYTES;
 use super::credit::SendCredit;
 use super::inbox::Inbox;
+use mustardtiller_core::UnknownReason;
+use mustardtiller_core::Verdict;
+use mustardtiller_wire::AnswerHead;
+use mustardtiller_wire::Frame;
 
 /// What the gate says next of a request.
 #[derive(Debug)]
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -5,16 +5,17 @@
 
 use std::fmt;
 
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::Refusal;
-use mustardtiller_core::RetryReason;
-use mustardtiller_core::UnknownReason;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::RetryReason;
+use mustardtiller_core::UnknownReason;
+
 macro_rules! counted {
     ($($help:literal $variant:ident = $name:literal,)*) => {
         /// What is counted without a label.
--- a/crates/mustardtiller/src/platform/http.rs
+++ b/crates/mustardtiller/src/platform/http.rs
@@ -10,9 +10,6 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use mustardtiller_config::MAX_VALUE_BYTES;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Digest;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
@@ -21,6 +18,9 @@
 use super::source::PlatformValue;
 use super::source::Reading;
 use crate::clock::Clock;
+use mustardtiller_config::MAX_VALUE_BYTES;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Digest;
 
 /// Time for a call, in milliseconds.
 const CALL_MS: u64 = 3_000;
--- a/crates/mustardtiller/src/platform/source.rs
+++ b/crates/mustardtiller/src/platform/source.rs
@@ -3,11 +3,13 @@
 use std::fmt;
 use std::pin::Pin;
 
-use mustardtiller_core::Digest;
 use snafu::Snafu;
 
+use mustardtiller_core::Digest;
+
 /// Why the platform could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum PlatformError {
     /// The call failed or took too long.
     #[snafu(display("{cause}"))]
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use log::LevelFilter;
+
 use mustardtiller_config::Document;
 use mustardtiller_config::Fault;
 use mustardtiller_config::Fields;
--- a/crates/mustardtiller/src/upstream/body.rs
+++ b/crates/mustardtiller/src/upstream/body.rs
@@ -14,8 +14,6 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use hyper::client::conn::http1::SendRequest;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Instant;
 
 use super::pool::put_back;
 use crate::body::BodyCut;
@@ -23,6 +21,8 @@
 use crate::daemon::Node;
 use crate::gate::GateBody;
 use crate::gate::Permit;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Instant;
 
 /// The body of a request to the upstream.
 #[derive(Debug)]
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -15,15 +15,6 @@
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::NotRunReason;
-use mustardtiller_core::Refusal;
-use mustardtiller_core::Sent;
-use mustardtiller_core::UnknownReason;
-use mustardtiller_core::Unsent;
-use mustardtiller_core::Verdict;
-use mustardtiller_wire::AnswerHead;
-use mustardtiller_wire::Header;
 
 use super::body::RequestBody;
 use super::body::UpstreamBody;
@@ -38,6 +29,15 @@
 use crate::gate::GateAnswer;
 use crate::gate::GateRequest;
 use crate::gate::Permit;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::Sent;
+use mustardtiller_core::UnknownReason;
+use mustardtiller_core::Unsent;
+use mustardtiller_core::Verdict;
+use mustardtiller_wire::AnswerHead;
+use mustardtiller_wire::Header;
 
 /// Answers up to this size are read whole before they are passed on, in bytes.
 const WHOLE_BYTES: u64 = 16 * 1024;
--- a/crates/mustardtiller/src/upstream/measure.rs
+++ b/crates/mustardtiller/src/upstream/measure.rs
@@ -7,12 +7,12 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Request;
-use mustardtiller_core::Deadline;
 
 use super::body::RequestBody;
 use super::pool::connect;
 use crate::daemon::Node;
 use crate::gate::GateBody;
+use mustardtiller_core::Deadline;
 
 /// Time for a measurement, in milliseconds.
 const MEASURE_MS: u64 = 1_000;
--- a/crates/mustardtiller/src/upstream/pool.rs
+++ b/crates/mustardtiller/src/upstream/pool.rs
@@ -6,14 +6,14 @@
 use concurrent_queue::ConcurrentQueue;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use mustardtiller_core::Deadline;
-use mustardtiller_core::Instant;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
 use super::body::RequestBody;
 use crate::daemon::Node;
 use crate::metrics::Counted;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Instant;
 
 /// Idle connections that are kept.
 const KEPT_CONNECTIONS: usize = 64;
--- a/crates/mustardtillerd/src/main.rs
+++ b/crates/mustardtillerd/src/main.rs
@@ -9,12 +9,13 @@
 use clap::Arg;
 use clap::ArgAction;
 use clap::Command;
+use smol::stream::StreamExt;
+
 use mustardtiller::Daemon;
 use mustardtiller::Phase;
 use mustardtiller::Settings;
 use mustardtiller::config::Source;
 use mustardtiller::start_logger;
-use smol::stream::StreamExt;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
