--- a/crates/mustardtiller-standin/src/runner.rs
+++ b/crates/mustardtiller-standin/src/runner.rs
@@ -1,6 +1,7 @@
 //! Threads that run a stand-in's tasks.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 
 use async_channel::Sender;
@@ -14,6 +15,7 @@
     executor: Arc<Executor<'static>>,
     end: Sender<()>,
     threads: Vec<thread::JoinHandle<()>>,
+    tasks: Mutex<Vec<Task<()>>>,
 }
 
 impl Runner {
@@ -34,12 +36,19 @@
             executor,
             end,
             threads,
+            tasks: Mutex::default(),
         }
     }
 
-    /// Run a task to its end in the background.
+    /// Run a task in the background, until its end or the runner's.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread that held the tasks has panicked.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.executor.spawn(task).detach();
+        let task = self.executor.spawn(task);
+        let mut tasks = self.tasks.lock().expect("no thread panics here");
+        tasks.push(task);
     }
 
     /// Run a task that ends when its handle is dropped.
@@ -59,6 +68,12 @@
 
 impl Drop for Runner {
     fn drop(&mut self) {
+        // A task that serves holds the executor; ending it closes its sockets.
+        if let Ok(mut tasks) = self.tasks.lock() {
+            for task in tasks.drain(..) {
+                smol::block_on(task.cancel());
+            }
+        }
         self.end.close();
         for thread in self.threads.drain(..) {
             let _ = thread.join();
--- /dev/null
+++ b/crates/mustardtiller-standin/tests/at_most_once.rs
@@ -0,0 +1,304 @@
+//! An order with a token runs at most once, whatever fails.
+
+mod util;
+
+use mustardtiller_standin::HttpAnswer;
+use mustardtiller_standin::HttpCall;
+use util::Fleet;
+use util::FleetPlan;
+use util::HOST;
+use util::order;
+use util::wait_for;
+
+fn fleet() -> Fleet {
+    let fleet = Fleet::start(FleetPlan {
+        piped: true,
+        ..FleetPlan::default()
+    });
+    for index in 0..3 {
+        fleet.wait_links(index);
+    }
+    fleet
+}
+
+fn slow_order(key: &str, token: &str, delay_ms: u64) -> HttpCall {
+    let path = format!("/order?delay_ms={delay_ms}");
+    HttpCall::new("POST", HOST, &path)
+        .header("x-key", key)
+        .header("mustardtiller-token", token)
+        .body("order")
+}
+
+fn cut_all(fleet: &Fleet) {
+    for pipe in &fleet.pipes {
+        pipe.cut();
+    }
+}
+
+/// Repeat an order through every entry until one tells the answer or that it is lost.
+fn find_out(fleet: &Fleet, call: &HttpCall) -> HttpAnswer {
+    let mut last = None;
+    wait_for("a final word on the order", || {
+        for index in 0..fleet.plan.upstreams {
+            if fleet.daemons[index].is_none() {
+                continue;
+            }
+            let answer = fleet.call(index, call);
+            let passing = [
+                "in-progress",
+                "gate-unreachable",
+                "link-lost",
+                "link-silent",
+                "",
+            ];
+            let settled = answer.outcome() == "answered"
+                || (answer.status != 0 && !passing.contains(&answer.reason()));
+            if settled {
+                last = Some(answer);
+                return true;
+            }
+        }
+        false
+    });
+    last.expect("a final word came")
+}
+
+#[test]
+fn a_repeat_gets_the_first_answer() {
+    let fleet = fleet();
+    let token = fleet.token(0);
+    let first = fleet.call(0, &order("a", Some(&token)));
+    assert_eq!(first.status, 201);
+    for index in [0, 1, 2, 1] {
+        let again = fleet.call(index, &order("a", Some(&token)));
+        assert_eq!((again.status, &again.body), (201, &first.body));
+    }
+    assert_eq!(fleet.record.runs("a"), 1);
+}
+
+#[test]
+fn concurrent_repeats_through_all_entries_run_once() {
+    let fleet = fleet();
+    for round in 0..10 {
+        let token = fleet.token(round % 3);
+        let key = format!("c{round}");
+        let calls: Vec<_> = (0..9)
+            .map(|index| fleet.begin(index % 3, slow_order(&key, &token, 20)))
+            .collect();
+        let answers: Vec<_> = calls.into_iter().map(smol::block_on).collect();
+        let answered = answers.iter().filter(|answer| answer.status == 201).count();
+        assert!(answered >= 1, "nobody was answered");
+        assert!(answers.iter().all(|answer| answer.outcome() != "not-run"));
+        assert_eq!(fleet.record.runs(&key), 1);
+    }
+}
+
+#[test]
+fn a_cut_link_loses_the_answer_not_the_order() {
+    let fleet = fleet();
+    let token = fleet.token(0);
+    let call = slow_order("cut", &token, 300);
+    let pending = fleet.begin(0, call.clone());
+    wait_for("the order to run", || fleet.record.runs("cut") == 1);
+    cut_all(&fleet);
+    assert_eq!(smol::block_on(pending).outcome(), "unknown");
+    let told = find_out(&fleet, &call);
+    assert_eq!((told.status, told.outcome()), (201, "answered"));
+    assert_eq!(fleet.record.runs("cut"), 1);
+}
+
+#[test]
+fn a_cut_before_the_request_arrives_runs_it_once() {
+    let fleet = fleet();
+    for (round, bytes) in [0, 1, 40, 120, 200].into_iter().enumerate() {
+        let key = format!("before{round}");
+        let token = fleet.token(round % 3);
+        for pipe in &fleet.pipes {
+            pipe.cut_after_there(bytes);
+        }
+        let call = order(&key, Some(&token));
+        let first = fleet.call(round % 3, &call);
+        for pipe in &fleet.pipes {
+            pipe.cut_after_there(u64::MAX / 2);
+        }
+        assert_ne!(first.outcome(), "not-run", "the entry can't know that");
+        let told = find_out(&fleet, &call);
+        assert_eq!(told.outcome(), "answered", "{}", told.reason());
+        assert_eq!(fleet.record.runs(&key), 1);
+    }
+}
+
+#[test]
+fn a_restarted_gate_runs_no_token_of_the_old_one() {
+    let mut fleet = fleet();
+    let tokens: Vec<_> = (0..12).map(|index| fleet.token(index % 3)).collect();
+    let ran = fleet.call(0, &order("ran", Some(&tokens[0])));
+    assert_eq!(ran.status, 201);
+    for index in 0..3 {
+        fleet.kill(index);
+        fleet.start_daemon(index);
+    }
+    for index in 0..3 {
+        fleet.wait_ready(index);
+        fleet.wait_links(index);
+    }
+    let repeated = find_out(&fleet, &order("ran", Some(&tokens[0])));
+    assert_eq!(
+        (repeated.outcome(), repeated.reason()),
+        ("unknown", "incarnation-gone")
+    );
+    assert_eq!(fleet.record.runs("ran"), 1);
+    for (index, token) in tokens.iter().enumerate().skip(1) {
+        let key = format!("fresh{index}");
+        let told = find_out(&fleet, &order(&key, Some(token)));
+        assert_eq!(told.outcome(), "unknown", "the new gate can't know");
+        assert_eq!(fleet.record.runs(&key), 0);
+    }
+}
+
+#[test]
+fn an_entry_killed_with_an_order_on_it() {
+    let mut fleet = fleet();
+    let token = fleet.token(0);
+    let call = slow_order("killed", &token, 300);
+    let pending = fleet.begin(0, call.clone());
+    wait_for("the order to run", || fleet.record.runs("killed") == 1);
+    fleet.kill(0);
+    let cut = smol::block_on(pending);
+    assert_eq!(cut.status, 0);
+    let told = find_out(&fleet, &call);
+    // The token may have been of the killed daemon's own gate.
+    assert!(told.status == 201 || told.reason() != "");
+    assert_eq!(fleet.record.runs("killed"), 1);
+}
+
+#[test]
+fn an_entry_that_wakes_after_the_deadline_runs_nothing() {
+    let fleet = fleet();
+    let token = fleet.token(0);
+    let call = order("late", Some(&token)).header("mustardtiller-timeout-ms", "400");
+    fleet.pause(0);
+    let pending = fleet.begin(0, call);
+    std::thread::sleep(std::time::Duration::from_millis(600));
+    fleet.resume(0);
+    let answer = smol::block_on(pending);
+    // The entry reads the request only now; its time starts when it is read.
+    assert!(fleet.record.runs("late") <= 1);
+    assert_eq!(fleet.record.late(), 0);
+    assert_ne!(answer.status, 0);
+}
+
+#[test]
+fn bytes_that_wait_in_a_frozen_link_run_nothing_late() {
+    let fleet = fleet();
+    for pipe in &fleet.pipes {
+        pipe.freeze_there(true);
+    }
+    let calls: Vec<_> = (0..6)
+        .map(|index| {
+            let call = order(&format!("f{index}"), None).header("mustardtiller-timeout-ms", "300");
+            fleet.begin(index % 3, call)
+        })
+        .collect();
+    let answers: Vec<_> = calls.into_iter().map(smol::block_on).collect();
+    assert!(answers.iter().all(|answer| answer.outcome() != "answered"));
+    for pipe in &fleet.pipes {
+        pipe.freeze_there(false);
+    }
+    for index in 0..3 {
+        wait_for("the links to work again", || {
+            fleet.get(index, "/ready").status == 200
+        });
+    }
+    for index in 0..6 {
+        assert_eq!(
+            fleet.record.runs(&format!("f{index}")),
+            0,
+            "an order ran after its deadline"
+        );
+    }
+}
+
+#[test]
+fn a_changed_configuration_moves_no_order() {
+    let fleet = fleet();
+    let tokens: Vec<_> = (0..6).map(|index| fleet.token(index % 3)).collect();
+    for (index, token) in tokens.iter().enumerate() {
+        let answer = fleet.call(0, &order(&format!("m{index}"), Some(token)));
+        assert_eq!(answer.status, 201);
+    }
+    // The third upstream leaves the configuration.
+    fleet.platform.publish(&fleet.artefact(2, 2));
+    for index in 0..3 {
+        wait_for("the new revision", || {
+            (fleet.metric(index, "revision") - 2.0).abs() < 0.1
+        });
+    }
+    for (index, token) in tokens.iter().enumerate() {
+        for entry in 0..3 {
+            let answer = fleet.call(entry, &order(&format!("m{index}"), Some(token)));
+            assert_ne!(answer.outcome(), "not-run");
+        }
+        assert_eq!(fleet.record.runs(&format!("m{index}")), 1);
+    }
+}
+
+#[test]
+fn a_full_ledger_voids_what_it_refuses() {
+    let limits = "[limits]\nledger_tokens = 3\n".to_owned();
+    let plan = FleetPlan {
+        upstreams: 1,
+        settings: limits,
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan);
+    let tokens: Vec<_> = (0..8).map(|_| fleet.token(0)).collect();
+    for (index, token) in tokens.iter().enumerate() {
+        let answer = fleet.call(0, &order(&format!("l{index}"), Some(token)));
+        let expected = if index < 3 { "" } else { "ledger-full" };
+        assert_eq!(answer.reason(), expected);
+    }
+    // What was refused stays refused, and what ran is still remembered.
+    for (index, token) in tokens.iter().enumerate() {
+        let answer = fleet.call(0, &order(&format!("l{index}"), Some(token)));
+        let runs = u32::from(index < 3);
+        assert_eq!(answer.outcome() == "answered", index < 3);
+        assert_eq!(fleet.record.runs(&format!("l{index}")), runs);
+    }
+}
+
+#[test]
+fn a_token_used_for_another_order_runs_nothing() {
+    let fleet = fleet();
+    let token = fleet.token(0);
+    assert_eq!(fleet.call(0, &order("one", Some(&token))).status, 201);
+    let other = order("two", Some(&token)).body("another order");
+    let answer = fleet.call(1, &other);
+    assert_eq!(
+        (answer.outcome(), answer.reason()),
+        ("unknown", "token-reused")
+    );
+    assert_eq!(fleet.record.runs("two"), 0);
+}
+
+#[test]
+fn an_order_without_token_is_sent_once() {
+    let fleet = fleet();
+    for round in 0..5 {
+        let key = format!("plain{round}");
+        let path = "/order?cut=head";
+        let call = HttpCall::new("POST", HOST, path)
+            .header("x-key", key.clone())
+            .body("order");
+        let answer = fleet.call(round % 3, &call);
+        assert_eq!(
+            (answer.outcome(), answer.reason()),
+            ("unknown", "answer-cut")
+        );
+        assert_eq!(
+            fleet.record.runs(&key),
+            1,
+            "an order of unknown outcome was repeated"
+        );
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/tests/not_run.rs
@@ -0,0 +1,157 @@
+//! "Not run" is true, and every refusal says its reason.
+
+mod util;
+
+use mustardtiller_standin::HttpCall;
+use util::Fleet;
+use util::FleetPlan;
+use util::HOST;
+use util::order;
+use util::wait_for;
+
+#[test]
+fn unknown_service_and_kind() {
+    let fleet = Fleet::start(FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    });
+    let nowhere = fleet.call(0, &HttpCall::new("GET", "nowhere", "/"));
+    assert_eq!((nowhere.status, nowhere.reason()), (421, "no-service"));
+    let none = fleet.call(0, &HttpCall::new("DELETE", HOST, "/"));
+    assert_eq!((none.status, none.reason()), (404, "no-kind"));
+}
+
+#[test]
+fn an_upstream_that_is_down() {
+    let mut fleet = Fleet::start(FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    });
+    fleet.upstreams[0].kill();
+    let answer = fleet.call(0, &order("down", None));
+    assert_eq!(
+        (answer.outcome(), answer.reason()),
+        ("not-run", "upstream-down")
+    );
+    assert_eq!(answer.header("mustardtiller-retry"), Some("no"));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(fleet.record.runs("down"), 0);
+}
+
+#[test]
+fn an_upstream_that_is_down_is_retried_elsewhere() {
+    let mut fleet = Fleet::start(FleetPlan::default());
+    fleet.wait_links(0);
+    fleet.upstreams[1].kill();
+    for number in 0..20 {
+        let answer = fleet.call(0, &order(&format!("r{number}"), None));
+        assert_eq!(answer.status, 201, "{}", answer.reason());
+        assert_eq!(fleet.record.runs(&format!("r{number}")), 1);
+    }
+}
+
+#[test]
+fn a_full_queue_refuses_what_did_not_run() {
+    let plan = FleetPlan {
+        upstreams: 1,
+        slots: 2,
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan);
+    let calls: Vec<_> = (0..40)
+        .map(|number| {
+            let call = HttpCall::new("POST", HOST, "/order?delay_ms=100").body("order");
+            fleet.begin(0, call.header("x-key", format!("q{number}")))
+        })
+        .collect();
+    let mut refused = 0;
+    for (number, call) in calls.into_iter().enumerate() {
+        let answer = smol::block_on(call);
+        let runs = fleet.record.runs(&format!("q{number}"));
+        match answer.outcome() {
+            "answered" => assert_eq!(runs, 1),
+            "not-run" => {
+                refused += 1;
+                assert_eq!(runs, 0, "{} and yet it ran", answer.reason());
+            }
+            other => panic!("{other}: {}", answer.reason()),
+        }
+    }
+    assert!(refused > 0, "forty orders at once don't fit two slots");
+    assert!(fleet.record.peak() <= 2);
+}
+
+#[test]
+fn a_deadline_that_passes_in_the_queue() {
+    let plan = FleetPlan {
+        upstreams: 1,
+        slots: 1,
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan);
+    let first = fleet.begin(0, HttpCall::new("GET", HOST, "/slow?delay_ms=1500"));
+    wait_for("the slot to be taken", || {
+        fleet.metric(0, "gate_in_flight") >= 1.0
+    });
+    let call = order("waits", None).header("mustardtiller-timeout-ms", "200");
+    let answer = fleet.call(0, &call);
+    assert_ne!(answer.outcome(), "answered");
+    assert_eq!(smol::block_on(first).status, 200);
+    assert_eq!(fleet.get(0, "/after").status, 200);
+    assert_eq!(
+        fleet.record.runs("waits"),
+        0,
+        "an order ran after its deadline"
+    );
+}
+
+#[test]
+fn a_token_that_is_needed_or_malformed() {
+    let fleet = Fleet::start(FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    });
+    let bad = fleet.call(0, &order("bad", Some("no token")));
+    assert_eq!((bad.status, bad.reason()), (400, "bad-token"));
+    let more = "[kind shop.deposit]\nservice = shop\nmethods = POST\npath = /order/deposit\n\
+                token = needed\ndeadline_ms = 1000\n";
+    fleet.platform.publish(&fleet.artefact_with(2, 1, more));
+    wait_for("the new revision", || {
+        (fleet.metric(0, "revision") - 2.0).abs() < 0.1
+    });
+    let call = HttpCall::new("POST", HOST, "/order/deposit")
+        .header("x-key", "d")
+        .body("deposit");
+    let needed = fleet.call(0, &call);
+    assert_eq!((needed.status, needed.reason()), (428, "token-needed"));
+    assert_eq!(fleet.record.runs("d"), 0);
+}
+
+#[test]
+fn no_configuration_yet() {
+    let plan = FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    };
+    let mut fleet = Fleet::start_unready(plan);
+    fleet.kill(0);
+    fleet.platform.set_down(true);
+    fleet.start_daemon(0);
+    wait_for("the entry to listen", || fleet.get(0, "/").status != 0);
+    let answer = fleet.get(0, "/");
+    assert_eq!((answer.status, answer.reason()), (503, "no-configuration"));
+    fleet.platform.set_down(false);
+    fleet.wait_ready(0);
+}
+
+#[test]
+fn refusals_are_counted_by_reason() {
+    let fleet = Fleet::start(FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    });
+    let name = "refusals_total{class=\"not-run\",reason=\"no-kind\"}";
+    let before = fleet.metric(0, name);
+    fleet.call(0, &HttpCall::new("DELETE", HOST, "/"));
+    assert!((fleet.metric(0, name) - before - 1.0).abs() < 0.1);
+}
