fix(link): end streams that were queued when their link was lost

Cause: a stream is registered through a queue that the link's reader empties when a frame comes. A link lost before that left the registration, and with it the stream's sender, in the queue, so the caller waited for its deadline. Ruled out: the reader missing the end of the connection (it logged it at once). Change: the table closes and empties the queue when it is dropped. The test now asks for the reason.

--- a/crates/mustardtiller-standin/tests/at_most_once.rs
+++ b/crates/mustardtiller-standin/tests/at_most_once.rs
@@ -101,7 +101,8 @@
     let pending = fleet.begin(0, call.clone());
     wait_for("the order to run", || fleet.record.runs("cut") == 1);
     cut_all(&fleet);
-    assert_eq!(smol::block_on(pending).outcome(), "unknown");
+    let cut = smol::block_on(pending);
+    assert_eq!((cut.outcome(), cut.reason()), ("unknown", "link-lost"));
     let told = find_out(&fleet, &call);
     assert_eq!((told.status, told.outcome()), (201, "answered"));
     assert_eq!(fleet.record.runs("cut"), 1);
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -393,6 +393,11 @@
 
 impl Drop for LinkTable {
     fn drop(&mut self) {
+        // A registration still queued would keep its stream waiting for ever.
+        self.registrations.close();
+        while let Ok(queued) = self.registrations.try_recv() {
+            queued.credit.close();
+        }
         for (_, credit) in self.streams.values() {
             credit.close();
         }
