--- a/crates/mustardtiller-standin/src/upstream/record.rs
+++ b/crates/mustardtiller-standin/src/upstream/record.rs
@@ -1,6 +1,7 @@
 //! What a stand-in upstream was asked to do.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -12,7 +13,7 @@
 pub struct UpstreamRecord {
     runs: Mutex<HashMap<String, u32>>,
     uploads: Mutex<HashMap<String, Vec<u8>>>,
-    measurements: Mutex<Vec<Instant>>,
+    measurements: Mutex<Vec<(SocketAddr, Instant)>>,
     requests: AtomicU64,
     cut_uploads: AtomicU64,
     late: AtomicU64,
@@ -40,10 +41,14 @@
         lock(&self.uploads).get(key).cloned()
     }
 
-    /// Return the instants of all measurements.
+    /// Return the instants at which the upstream at `address` was measured.
     #[must_use]
-    pub fn measurements(&self) -> Vec<Instant> {
-        lock(&self.measurements).clone()
+    pub fn measurements(&self, address: SocketAddr) -> Vec<Instant> {
+        let measurements = lock(&self.measurements);
+        let own = measurements
+            .iter()
+            .filter(|(upstream, _)| *upstream == address);
+        own.map(|(_, at)| *at).collect()
     }
 
     /// Return how many requests came, measurements left out.
@@ -92,8 +97,8 @@
         lock(&self.uploads).insert(key.to_owned(), bytes);
     }
 
-    pub(super) fn count_measurement(&self) {
-        lock(&self.measurements).push(Instant::now());
+    pub(super) fn count_measurement(&self, upstream: SocketAddr) {
+        lock(&self.measurements).push((upstream, Instant::now()));
     }
 
     pub(super) fn count_cut_upload(&self) {
--- a/crates/mustardtiller-standin/src/upstream/server.rs
+++ b/crates/mustardtiller-standin/src/upstream/server.rs
@@ -74,6 +74,7 @@
     ) -> Self {
         let listener = smol::block_on(TcpListener::bind(address)).expect("the address is free");
         let shared = Shared {
+            address,
             plan: Arc::clone(&plan),
             record: Arc::clone(&record),
             slots: Arc::new(Semaphore::new(slots)),
@@ -123,6 +124,7 @@
 
 #[derive(Clone)]
 struct Shared {
+    address: SocketAddr,
     plan: Arc<UpstreamPlan>,
     record: Arc<UpstreamRecord>,
     slots: Arc<Semaphore>,
@@ -172,7 +174,7 @@
 
 async fn answer(shared: &Shared, req: Request<Incoming>, cut: &Sender<()>) -> Response<Pieces> {
     if req.uri().path() == "/load" {
-        shared.record.count_measurement();
+        shared.record.count_measurement(shared.address);
         let (state, in_flight) = (shared.plan.state(), shared.record.in_flight());
         let text = format!("state={state} in_flight={in_flight}\n");
         return respond(shared, 200, Pieces::whole(text.into_bytes()));
--- /dev/null
+++ b/crates/mustardtiller-standin/tests/config_spread.rs
@@ -0,0 +1,193 @@
+//! An accepted configuration is in force everywhere and never reverts.
+
+mod util;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mustardtiller::config::Artefact;
+use util::Fleet;
+use util::FleetPlan;
+use util::wait_for;
+
+/// The target of letter 1.
+const IN_FORCE: Duration = Duration::from_secs(20);
+
+fn plan(upstreams: usize) -> FleetPlan {
+    let settings = "[spread]\nreaders = 1\ngossip_ms = 200\nhosts_ms = 300\nretry_ms = 100\n\
+                    max_retry_ms = 500\nidle_read_ms = 600000\n";
+    FleetPlan {
+        upstreams,
+        settings: settings.to_owned(),
+        ..FleetPlan::default()
+    }
+}
+
+fn revision(fleet: &Fleet, index: usize) -> u64 {
+    fleet.metric(index, "revision") as u64
+}
+
+fn wait_revision(fleet: &Fleet, wanted: u64) -> Duration {
+    let start = Instant::now();
+    for index in 0..fleet.plan.upstreams {
+        if fleet.daemons[index].is_some() {
+            wait_for("the revision everywhere", || {
+                revision(fleet, index) == wanted
+            });
+        }
+    }
+    start.elapsed()
+}
+
+#[test]
+fn one_reader_is_enough_for_all() {
+    let fleet = Fleet::start(plan(10));
+    for next in 2..6 {
+        fleet.platform.publish(&fleet.artefact(next, 10));
+        let took = wait_revision(&fleet, next);
+        assert!(took < IN_FORCE, "{took:?}");
+    }
+    let idle: f64 = (0..10)
+        .map(|index| fleet.metric(index, "peer_fetches_total"))
+        .sum();
+    assert!(idle > 0.0, "peers fetched from one another");
+}
+
+#[test]
+fn in_force_while_the_platform_is_down_after_one_read_it() {
+    let mut fleet = Fleet::start(plan(4));
+    fleet.platform.publish(&fleet.artefact(2, 4));
+    wait_revision(&fleet, 2);
+    fleet.platform.set_down(true);
+    // A daemon that restarts learns the configuration from its peers' gossip.
+    fleet.kill(3);
+    fleet.start_daemon(3);
+    wait_for("the peers' revision", || revision(&fleet, 3) == 2);
+    assert_eq!(fleet.get(0, "/item").status, 200);
+}
+
+#[test]
+fn a_stale_platform_reverts_nothing() {
+    let mut fleet = Fleet::start(plan(4));
+    let old = fleet.artefact(1, 4);
+    fleet.platform.publish(&fleet.artefact(7, 4));
+    wait_revision(&fleet, 7);
+    fleet.platform.publish(&old);
+    // A fresh daemon may read the stale value, and must end with its peers'.
+    fleet.kill(2);
+    fleet.start_daemon(2);
+    wait_for("the peers' revision", || revision(&fleet, 2) == 7);
+    wait_for("the stale offer to be seen", || {
+        (0..4).any(|index| fleet.metric(index, "configs_older_total") > 0.0)
+    });
+    for index in 0..4 {
+        assert_eq!(revision(&fleet, index), 7);
+    }
+}
+
+#[test]
+fn two_contents_under_one_revision_converge() {
+    let fleet = Fleet::start(plan(6));
+    let (one, two) = (fleet.artefact(5, 6), fleet.artefact(5, 5));
+    let winner = one.version().max(two.version()).to_string();
+    fleet.platform.publish(&one);
+    wait_for("a daemon to take the one", || {
+        (0..6).any(|index| revision(&fleet, index) == 5)
+    });
+    fleet.platform.publish(&two);
+    for index in 0..6 {
+        wait_for("the greater of both everywhere", || {
+            let log = fleet.log(index);
+            let last = log.lines().filter(|line| line.contains("E200")).next_back();
+            last.is_some_and(|line| line.ends_with(&winner))
+        });
+    }
+    let conflicts = |index| fleet.metric(index, "configs_conflicting_total") > 0.0;
+    wait_for("an event about it", || (0..6).any(conflicts));
+}
+
+#[test]
+fn a_damaged_set_changes_nothing() {
+    let fleet = Fleet::start(plan(3));
+    let mut half = fleet.artefact(2, 2);
+    let (digest, bytes) = half.parts.pop_first().expect("there are parts");
+    half.parts
+        .insert(digest, bytes.iter().map(|byte| byte ^ 0x55).collect());
+    fleet.platform.publish(&half);
+    wait_for("the refusal", || {
+        (0..3).any(|index| fleet.metric(index, "configs_refused_total") > 0.0)
+    });
+    for index in 0..3 {
+        assert_eq!(revision(&fleet, index), 1, "a damaged set was taken");
+        assert_eq!(fleet.get(index, "/item").status, 200);
+    }
+    // The next good set is taken.
+    fleet.platform.publish(&fleet.artefact(3, 3));
+    wait_revision(&fleet, 3);
+}
+
+#[test]
+fn a_damaged_manifest_changes_nothing() {
+    let fleet = Fleet::start(plan(2));
+    fleet
+        .platform
+        .put("/config/manifest", b"no manifest at all".to_vec());
+    wait_for("the refusal", || {
+        (0..2).any(|index| fleet.metric(index, "configs_refused_total") > 0.0)
+    });
+    assert_eq!(revision(&fleet, 0), 1);
+    fleet.platform.publish(&fleet.artefact(2, 2));
+    wait_revision(&fleet, 2);
+}
+
+#[test]
+fn a_missing_part_is_waited_for() {
+    let fleet = Fleet::start(plan(2));
+    let whole = fleet.artefact(2, 1);
+    fleet
+        .platform
+        .put("/config/manifest", whole.manifest_bytes.clone());
+    wait_for("the miss", || {
+        (0..2).any(|index| fleet.log(index).contains("not fetched"))
+    });
+    assert_eq!(revision(&fleet, 0), 1);
+    fleet.platform.publish(&whole);
+    wait_revision(&fleet, 2);
+}
+
+#[test]
+fn reads_stay_few_when_all_restart() {
+    let mut fleet = Fleet::start(plan(10));
+    fleet.platform.publish(&fleet.artefact(2, 10));
+    wait_revision(&fleet, 2);
+    let before = fleet.platform.calls();
+    for index in 0..10 {
+        fleet.kill(index);
+    }
+    for index in 0..10 {
+        fleet.start_daemon(index);
+    }
+    for index in 0..10 {
+        fleet.wait_ready(index);
+    }
+    wait_revision(&fleet, 2);
+    let used = fleet.platform.calls() - before;
+    // Host list, manifest and at most two parts a daemon, and what the one reader watches.
+    assert!(used <= 10 * 4 + 40, "{used} calls for ten restarts");
+}
+
+#[test]
+fn an_artefact_comes_back_as_it_was() {
+    let fleet = Fleet::start_unready(FleetPlan {
+        upstreams: 2,
+        ..FleetPlan::default()
+    });
+    let built = fleet.artefact(9, 2);
+    let mut read = Artefact::from_manifest(built.manifest_bytes.clone()).expect("it is good");
+    for digest in read.missing() {
+        let bytes = built.parts[&digest].clone();
+        read.add_part(digest, bytes).expect("it is good");
+    }
+    assert_eq!(read.version(), built.version());
+    assert!(mustardtiller::config::Configuration::assemble(&read).is_ok());
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/tests/measure_budget.rs
@@ -0,0 +1,124 @@
+//! Measuring never exceeds its budget, counted at the upstream itself.
+
+mod util;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use util::Fleet;
+use util::FleetPlan;
+use util::wait_for;
+
+/// Clocks of two processes and the way between them, in one figure.
+const SLACK: Duration = Duration::from_millis(2);
+
+/// Check every window: no more permits than its length allows, and one.
+fn assert_within(measurements: &[Instant], milli_per_second: u64) {
+    for (first, from) in measurements.iter().enumerate() {
+        for (last, to) in measurements.iter().enumerate().skip(first) {
+            let window = to.duration_since(*from) + SLACK;
+            let allowed = window.as_micros() as u64 * milli_per_second / 1_000_000_000 + 1;
+            let used = (last - first + 1) as u64;
+            assert!(
+                used <= allowed,
+                "{used} measurements in {window:?}, allowed {allowed}"
+            );
+        }
+    }
+}
+
+fn measurements(fleet: &Fleet, index: usize) -> Vec<Instant> {
+    fleet.record.measurements(fleet.upstreams[index].address())
+}
+
+fn plan(milli: u64) -> FleetPlan {
+    FleetPlan {
+        upstreams: 1,
+        measure_milli: milli,
+        ..FleetPlan::default()
+    }
+}
+
+#[test]
+fn through_restarts_in_a_loop() {
+    let mut fleet = Fleet::start(plan(10_000));
+    for round in 0..12 {
+        std::thread::sleep(Duration::from_millis(40 + round * 20));
+        fleet.kill(0);
+        fleet.start_daemon(0);
+    }
+    fleet.wait_ready(0);
+    let seen = measurements(&fleet, 0).len();
+    wait_for("more measurements", || {
+        measurements(&fleet, 0).len() >= seen + 5
+    });
+    assert_within(&measurements(&fleet, 0), 10_000);
+}
+
+#[test]
+fn under_load_from_many_entries() {
+    let fleet = Fleet::start(FleetPlan {
+        measure_milli: 10_000,
+        ..FleetPlan::default()
+    });
+    let mut round = 0;
+    wait_for("measurements under load", || {
+        round += 1;
+        fleet.get(round % 3, "/item");
+        (0..3).all(|index| measurements(&fleet, index).len() >= 12)
+    });
+    for index in 0..3 {
+        assert_within(&measurements(&fleet, index), 10_000);
+    }
+}
+
+#[test]
+fn through_a_change_of_the_budget() {
+    let mut fleet = Fleet::start(plan(20_000));
+    wait_for("measurements", || measurements(&fleet, 0).len() >= 5);
+    fleet.plan.measure_milli = 2_000;
+    fleet.platform.publish(&fleet.artefact(2, 1));
+    wait_for("the new revision", || {
+        (fleet.metric(0, "revision") - 2.0).abs() < 0.1
+    });
+    let changed = measurements(&fleet, 0).len();
+    wait_for("measurements", || {
+        measurements(&fleet, 0).len() >= changed + 3
+    });
+    let all = measurements(&fleet, 0);
+    assert_within(&all[changed..], 2_000);
+    assert_within(&all, 20_000);
+}
+
+#[test]
+fn a_daemon_that_wakes_beside_its_successor() {
+    let mut fleet = Fleet::start(plan(10_000));
+    wait_for("measurements", || measurements(&fleet, 0).len() >= 3);
+    fleet.pause(0);
+    // The address of the link is held by the paused daemon: none can start beside it.
+    let paused = fleet.daemons[0].take();
+    fleet.start_daemon(0);
+    let mut second = fleet.daemons[0].take().expect("it was started");
+    let mut status = None;
+    wait_for("the second daemon to give up", || {
+        status = second.try_wait().expect("a child can be waited for");
+        status.is_some()
+    });
+    assert_eq!(status.and_then(|status| status.code()), Some(3));
+    fleet.daemons[0] = paused;
+    fleet.resume(0);
+    let seen = measurements(&fleet, 0).len();
+    wait_for("more measurements", || {
+        measurements(&fleet, 0).len() >= seen + 3
+    });
+    assert_within(&measurements(&fleet, 0), 10_000);
+}
+
+#[test]
+fn a_budget_of_nothing_measures_nothing() {
+    let fleet = Fleet::start(plan(0));
+    for _ in 0..50 {
+        fleet.get(0, "/item");
+    }
+    assert!(measurements(&fleet, 0).is_empty());
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/tests/planned_stop.rs
@@ -0,0 +1,129 @@
+//! A planned stop of a daemon cuts nothing.
+
+mod util;
+
+use mustardtiller_standin::HttpCall;
+use mustardtiller_standin::LoadPlan;
+use mustardtiller_standin::content;
+use mustardtiller_standin::run_load;
+use util::Fleet;
+use util::FleetPlan;
+use util::HOST;
+use util::wait_for;
+
+fn plan() -> FleetPlan {
+    let daemon_settings = "withdraw_ms = 300\nstop_ms = 30000\n".to_owned();
+    FleetPlan {
+        daemon_settings,
+        ..FleetPlan::default()
+    }
+}
+
+#[test]
+fn uploads_and_answers_in_flight_end_whole() {
+    let mut fleet = Fleet::start(plan());
+    fleet.wait_links(0);
+    fleet.wait_links(1);
+    // Work on the entry part and on the gate part of the daemon that stops.
+    let bytes = content(5, 8_000_000);
+    let calls: Vec<_> = (0..6)
+        .map(|index| {
+            let call = HttpCall::new("POST", HOST, "/upload?delay_ms=700");
+            let call = call
+                .header("x-key", format!("up{index}"))
+                .body(bytes.clone());
+            fleet.begin(index % 2, call)
+        })
+        .collect();
+    let slow: Vec<_> = (0..8)
+        .map(|index| {
+            fleet.begin(
+                index % 2,
+                HttpCall::new("GET", HOST, "/bytes/300000?delay_ms=900"),
+            )
+        })
+        .collect();
+    wait_for("work in flight", || fleet.record.in_flight() >= 14);
+    let status = fleet.stop(0);
+    assert!(status.success());
+    for (index, call) in calls.into_iter().enumerate() {
+        let answer = smol::block_on(call);
+        assert_eq!(answer.status, 201, "upload {index}: {}", answer.reason());
+        assert_eq!(
+            fleet.record.upload(&format!("up{index}")).as_ref(),
+            Some(&bytes)
+        );
+    }
+    for call in slow {
+        let answer = smol::block_on(call);
+        assert!(answer.status == 200 && answer.whole, "{}", answer.reason());
+    }
+    assert!(!fleet.log(0).contains("E103"), "the stop cut something");
+}
+
+#[test]
+fn callers_turn_away_at_request_boundaries() {
+    let mut fleet = Fleet::start(plan());
+    fleet.signal(0, rustix::process::Signal::TERM);
+    wait_for("the daemon to be withdrawn", || {
+        fleet.log(0).contains("E101")
+    });
+    let ready = fleet.get(0, "/.well-known/mustardtiller/ready");
+    if ready.status != 0 {
+        assert_eq!(ready.status, 503);
+        assert_eq!(ready.header("connection"), Some("close"));
+    }
+    let mut child = fleet.daemons[0].take().expect("the daemon runs");
+    wait_for("the daemon to end", || {
+        child
+            .try_wait()
+            .expect("a child can be waited for")
+            .is_some()
+    });
+    assert_eq!(fleet.get(1, "/item").status, 200);
+}
+
+#[test]
+fn a_rolling_restart_under_load_loses_nothing() {
+    let mut fleet = Fleet::start(plan());
+    for index in 0..3 {
+        fleet.wait_links(index);
+    }
+    for index in 0..3 {
+        // The load uses the entries that stay; its work reaches all three gates.
+        let entries: Vec<_> = (0..3).filter(|other| *other != index).collect();
+        let load = LoadPlan {
+            entries: entries.iter().map(|other| fleet.entry(*other)).collect(),
+            browse_host: HOST.to_owned(),
+            order_host: HOST.to_owned(),
+            upload_host: HOST.to_owned(),
+            rate: 150,
+            millis: 2_500,
+            order_percent: 20,
+            upload_percent: 10,
+            upload_bytes: 60_000,
+            seed: 100 + index as u64,
+        };
+        let executor = std::sync::Arc::clone(fleet.runner.executor());
+        let running = std::sync::Arc::clone(&executor);
+        let pending = executor.spawn(async move { run_load(&running, &load).await });
+        std::thread::sleep(std::time::Duration::from_millis(500));
+        assert!(fleet.stop(index).success());
+        fleet.start_daemon(index);
+        let report = smol::block_on(pending);
+        assert_eq!(
+            (report.unknown, report.no_answer, report.wrong),
+            (0, 0, 0),
+            "{report}"
+        );
+        for key in &report.done {
+            assert_eq!(fleet.record.runs(key), 1, "{key}");
+        }
+        for key in &report.refused {
+            assert_eq!(fleet.record.runs(key), 0, "{key} was refused and ran");
+        }
+        assert!(report.not_run * 50 <= report.asked, "{report}");
+        fleet.wait_ready(index);
+        assert!(!fleet.log(index).contains("E103"), "the stop cut something");
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/tests/silent_links.rs
@@ -0,0 +1,124 @@
+//! Links that go silent or cut, and upstreams that slow down, fail or pause.
+
+mod util;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use util::Fleet;
+use util::FleetPlan;
+use util::wait_for;
+
+fn fleet() -> Fleet {
+    let fleet = Fleet::start(FleetPlan {
+        piped: true,
+        ..FleetPlan::default()
+    });
+    for index in 0..3 {
+        fleet.wait_links(index);
+    }
+    fleet
+}
+
+#[test]
+fn a_silent_connection_is_found_and_replaced() {
+    let fleet = fleet();
+    for pipe in &fleet.pipes {
+        pipe.silence_open();
+    }
+    let start = Instant::now();
+    // Browses on silent links are lost, found so and retried on new ones.
+    wait_for("answers on new links", || {
+        fleet.get(0, "/item").status == 200
+    });
+    assert!(
+        start.elapsed() < Duration::from_secs(5),
+        "{:?}",
+        start.elapsed()
+    );
+    assert!(fleet.metric(0, "links_silent_total") >= 1.0);
+    for _ in 0..30 {
+        assert_eq!(fleet.get(0, "/item").status, 200);
+    }
+}
+
+#[test]
+fn one_silent_link_costs_no_browse() {
+    let fleet = fleet();
+    fleet.pipes[1].silence_open();
+    for _ in 0..60 {
+        let answer = fleet.get(0, "/item");
+        assert_eq!(answer.status, 200, "{}", answer.reason());
+    }
+}
+
+#[test]
+fn a_paused_process_gives_nothing_up() {
+    let fleet = fleet();
+    fleet.pause(0);
+    std::thread::sleep(Duration::from_millis(1_500));
+    fleet.resume(0);
+    for _ in 0..20 {
+        assert_eq!(fleet.get(0, "/item").status, 200);
+    }
+    assert!(
+        fleet.metric(0, "links_silent_total") < 0.5,
+        "its own pause was taken for silence"
+    );
+}
+
+#[test]
+fn an_unreachable_daemon_is_passed_by() {
+    let fleet = fleet();
+    fleet.pipes[2].set_refusing(true);
+    fleet.pipes[2].cut();
+    for _ in 0..40 {
+        let answer = fleet.get(0, "/item");
+        assert_eq!(answer.status, 200, "{}", answer.reason());
+    }
+    fleet.pipes[2].set_refusing(false);
+    let made = fleet.metric(0, "links_made_total");
+    wait_for("the link to come back", || {
+        fleet.metric(0, "links_made_total") > made
+    });
+}
+
+#[test]
+fn an_upstream_that_fails_fast_draws_no_traffic() {
+    let fleet = fleet();
+    for _ in 0..30 {
+        fleet.get(0, "/item");
+    }
+    fleet.upstreams[0].plan().set_failing(true);
+    let failed = (0..300)
+        .filter(|_| fleet.get(0, "/item").status == 503)
+        .count();
+    // An even share of three would be a hundred.
+    assert!(
+        failed < 100,
+        "{failed} of 300 went to the upstream that fails"
+    );
+    fleet.upstreams[0].plan().set_failing(false);
+    let before = fleet.metric(0, "gate_admitted_total");
+    wait_for("it to be used again", || {
+        fleet.get(0, "/item");
+        fleet.metric(0, "gate_admitted_total") > before + 3.0
+    });
+}
+
+#[test]
+fn an_upstream_that_slows_down_draws_less() {
+    let fleet = fleet();
+    for _ in 0..30 {
+        fleet.get(0, "/item");
+    }
+    fleet.upstreams[0].plan().set_service_micros(100_000);
+    let slow = (0..200)
+        .filter(|_| {
+            let start = Instant::now();
+            assert_eq!(fleet.get(0, "/item").status, 200);
+            start.elapsed() > Duration::from_millis(90)
+        })
+        .count();
+    assert!(slow < 66, "{slow} of 200 went to the upstream that is slow");
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/tests/whole_answers.rs
@@ -0,0 +1,129 @@
+//! Every caller gets the complete answer to its own request, or is told.
+
+mod util;
+
+use mustardtiller_standin::HttpCall;
+use mustardtiller_standin::content;
+use util::Fleet;
+use util::FleetPlan;
+use util::HOST;
+use util::order;
+use util::wait_for;
+
+#[test]
+fn a_short_answer_that_is_cut_is_told() {
+    let fleet = Fleet::start(FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    });
+    for path in ["/order?cut=head", "/order?cut=body"] {
+        let call = HttpCall::new("POST", HOST, path)
+            .header("x-key", path)
+            .body("order");
+        let answer = fleet.call(0, &call);
+        assert_eq!((answer.status, answer.reason()), (502, "answer-cut"));
+        assert_eq!(fleet.record.runs(path), 1);
+    }
+}
+
+#[test]
+fn a_long_answer_that_is_cut_is_no_whole_answer() {
+    let fleet = Fleet::start(FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    });
+    let whole = fleet.get(0, "/bytes/900000?seed=4");
+    assert!(whole.whole && whole.body == content(4, 900_000));
+    let cut = fleet.get(0, "/bytes/900000?seed=4&cut=body");
+    assert!(!cut.whole, "a cut answer passed as whole");
+    assert!(cut.body.len() < 900_000);
+    wait_for("the cut to be counted", || {
+        fleet.metric(0, "answers_cut_total") >= 1.0
+    });
+}
+
+#[test]
+fn a_link_cut_in_a_long_answer_is_told_and_mixes_nothing() {
+    let fleet = Fleet::start(FleetPlan {
+        upstreams: 2,
+        piped: true,
+        ..FleetPlan::default()
+    });
+    fleet.wait_links(0);
+    for (round, bytes) in [10, 5_000, 50_000, 200_000, 390_000]
+        .into_iter()
+        .enumerate()
+    {
+        for pipe in &fleet.pipes {
+            pipe.cut_after_back(bytes);
+        }
+        let calls: Vec<_> = (0..6_u64)
+            .map(|index| {
+                let seed = round as u64 * 10 + index;
+                let path = format!("/bytes/400000?seed={seed}");
+                (seed, fleet.begin(0, HttpCall::new("GET", HOST, &path)))
+            })
+            .collect();
+        for (seed, call) in calls {
+            let answer = smol::block_on(call);
+            let expected = content(seed, 400_000);
+            if answer.whole && answer.outcome() == "answered" {
+                assert_eq!(answer.body, expected);
+            } else if answer.outcome() == "answered" {
+                assert!(expected.starts_with(&answer.body), "another's bytes");
+            }
+        }
+        for pipe in &fleet.pipes {
+            pipe.cut_after_back(u64::MAX / 2);
+        }
+        wait_for("the links to come back", || {
+            fleet.get(0, "/ready").status == 200
+        });
+    }
+}
+
+#[test]
+fn answers_after_the_caller_has_gone_are_dropped() {
+    let fleet = Fleet::start(FleetPlan {
+        upstreams: 1,
+        slots: 40,
+        ..FleetPlan::default()
+    });
+    for number in 0..10 {
+        let call = HttpCall::new("GET", HOST, "/bytes/50000?seed=1&delay_ms=120");
+        let gone = fleet.call(0, &call.timeout_ms(20 + number * 10));
+        assert_eq!(gone.status, 0);
+    }
+    for seed in 0..20 {
+        let answer = fleet.get(0, &format!("/bytes/30000?seed={seed}"));
+        assert!(answer.whole && answer.body == content(seed, 30_000));
+    }
+}
+
+#[test]
+fn a_new_life_on_the_same_address_answers_nothing_old() {
+    let mut fleet = Fleet::start(FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    });
+    let token = fleet.token(0);
+    let call = order("old", Some(&token)).header("x-slow", "yes");
+    assert_eq!(fleet.call(0, &call).status, 201);
+    let pending: Vec<_> = (0..5)
+        .map(|seed| {
+            let path = format!("/bytes/20000?seed={seed}&delay_ms=400");
+            fleet.begin(0, HttpCall::new("GET", HOST, &path))
+        })
+        .collect();
+    wait_for("the calls to run", || fleet.record.in_flight() == 5);
+    fleet.kill(0);
+    fleet.start_daemon(0);
+    for call in pending {
+        assert_eq!(smol::block_on(call).status, 0);
+    }
+    fleet.wait_ready(0);
+    for seed in 0..10 {
+        let answer = fleet.get(0, &format!("/bytes/20000?seed={seed}"));
+        assert_eq!(answer.body, content(seed, 20_000));
+    }
+}
