fix(spread): ask peers before a stale platform, and retry missing parts

Cause: a fresh daemon read the platform within its start spread, perhaps before its peers answered, so a stale value was in force for a moment. And a part that came late was never fetched: the failed fetch left the manifest's tag in place and the watch waited for another manifest. Change: without a configuration the first read waits until peers were asked and had 300 ms; a failed fetch backs off, drops the tag and reads again; no read starts while a fetch is under way.

--- a/crates/mustardtiller-core/src/route/choice.rs
+++ b/crates/mustardtiller-core/src/route/choice.rs
@@ -18,7 +18,7 @@
 const LATENCY_HALF_LIFE_MICROS: u64 = 1_000_000;
 
 /// Age at which a smoothed error rate counts for half, in microseconds.
-const ERROR_HALF_LIFE_MICROS: u64 = 1_000_000;
+const ERROR_HALF_LIFE_MICROS: u64 = 500_000;
 
 /// What a kind of request weighs more.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -137,11 +137,8 @@
     let load_milli = estimated_load_milli(sample, policy);
     let warm_milli = u64::from(sample.ramp_milli.clamp(50, 1_000));
     let waiting = latency * load_milli / slots / warm_milli;
-    let error_milli = faded(
-        u64::from(sample.error_milli),
-        sample.error_age_micros,
-        ERROR_HALF_LIFE_MICROS,
-    );
+    let half_lives = (sample.error_age_micros / ERROR_HALF_LIFE_MICROS).min(63);
+    let error_milli = u64::from(sample.error_milli) >> half_lives;
     let errors = ERROR_PENALTY_MICROS * error_milli / 1_000;
     let price = match policy.weigh {
         Weigh::Latency => u64::from(sample.price_micros),
--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -33,6 +33,8 @@
     pub start_ms: u64,
     /// Time after which a fetch counts as failed, in milliseconds.
     pub fetch_ms: u64,
+    /// Time that a daemon without a configuration waits for its peers, in milliseconds.
+    pub peers_ms: u64,
 }
 
 impl Default for SpreadRule {
@@ -46,6 +48,7 @@
             max_retry_ms: 15_000,
             start_ms: 200,
             fetch_ms: 2_000,
+            peers_ms: 300,
         }
     }
 }
@@ -119,6 +122,7 @@
     fetching: Option<(Version, Deadline)>,
     reading: bool,
     failures: u32,
+    peers_asked: bool,
     next_gossip: Deadline,
     next_read: Deadline,
 }
@@ -146,8 +150,9 @@
             fetching: None,
             reading: false,
             failures: 0,
+            peers_asked: false,
             next_gossip: Deadline::at(now),
-            next_read: Deadline::in_millis(now, first_read),
+            next_read: Deadline::in_millis(now, first_read + rule.peers_ms * 2),
         }
     }
 
@@ -160,10 +165,10 @@
     /// Return when the next [`SpreadEvent::Tick`] is due.
     #[must_use]
     pub fn next_tick(&self) -> Deadline {
-        let due = if self.reading {
-            self.next_gossip
-        } else {
+        let due = if self.may_read() {
             self.next_gossip.min(self.next_read)
+        } else {
+            self.next_gossip
         };
         self.fetching.map_or(due, |(_, until)| due.min(until))
     }
@@ -189,6 +194,7 @@
             SpreadEvent::Refused(version) => self.refuse(version),
             SpreadEvent::FetchFailed => {
                 self.fetching = None;
+                self.back_off(now, rng);
                 SpreadEffects::new()
             }
         }
@@ -202,7 +208,7 @@
         {
             self.fetching = None;
         }
-        if self.next_gossip.has_passed(now) {
+        if self.ask_first(hosts, now) || self.next_gossip.has_passed(now) {
             let millis = jittered(self.rule.gossip_ms, rng);
             self.next_gossip = Deadline::in_millis(now, millis);
             let count = if self.held.revision == 0 {
@@ -212,7 +218,7 @@
             };
             self.tell(hosts, count, true, rng, &mut effects);
         }
-        if !self.reading && self.next_read.has_passed(now) {
+        if self.may_read() && self.next_read.has_passed(now) {
             self.reading = true;
             let reader = hosts.is_reader(&self.me, self.rule.readers);
             let watch = reader && self.held.revision > 0 && self.failures == 0;
@@ -221,6 +227,18 @@
         effects
     }
 
+    /// Report, once, that peers are known who can be asked before the platform.
+    ///
+    /// The first read of the platform waits for their answers: it may be stale.
+    fn ask_first(&mut self, hosts: &HostList, now: Instant) -> bool {
+        if self.peers_asked || self.held.revision > 0 || hosts.members.is_empty() {
+            return false;
+        }
+        self.peers_asked = true;
+        self.next_read = Deadline::in_millis(now, self.rule.peers_ms);
+        true
+    }
+
     fn peer_has(
         &mut self,
         peer: SocketAddr,
@@ -248,7 +266,6 @@
     ) -> SpreadEffects {
         let mut effects = SpreadEffects::new();
         self.reading = false;
-        self.failures = 0;
         let reader = hosts.is_reader(&self.me, self.rule.readers);
         let wait = if reader {
             0
@@ -259,17 +276,29 @@
         if self.wants(version) {
             self.begin_fetch(version, now);
             effects.push(SpreadEffect::FetchFromPlatform { version });
+        } else {
+            self.failures = 0;
         }
         effects
     }
 
     fn platform_failed(&mut self, now: Instant, rng: &mut fastrand::Rng) -> SpreadEffects {
         self.reading = false;
+        self.back_off(now, rng);
+        SpreadEffects::new()
+    }
+
+    /// Put the next read off, longer with each failure.
+    fn back_off(&mut self, now: Instant, rng: &mut fastrand::Rng) {
         let wait = self.rule.retry_ms << self.failures.min(8);
         self.failures += 1;
         let wait = jittered(wait.min(self.rule.max_retry_ms), rng);
         self.next_read = Deadline::in_millis(now, wait);
-        SpreadEffects::new()
+    }
+
+    /// Report whether no read and no fetch is under way.
+    const fn may_read(&self) -> bool {
+        !self.reading && self.fetching.is_none()
     }
 
     fn accepted(
@@ -280,6 +309,7 @@
     ) -> SpreadEffects {
         let mut effects = SpreadEffects::new();
         self.end_fetch(version);
+        self.failures = 0;
         if version > self.held {
             self.held = version;
             self.tell(hosts, self.rule.fanout, false, rng, &mut effects);
--- a/crates/mustardtiller-standin/tests/config_spread.rs
+++ b/crates/mustardtiller-standin/tests/config_spread.rs
@@ -73,13 +73,33 @@
     fleet.platform.publish(&fleet.artefact(7, 4));
     wait_revision(&fleet, 7);
     fleet.platform.publish(&old);
-    // A fresh daemon may read the stale value, and must end with its peers'.
-    fleet.kill(2);
-    fleet.start_daemon(2);
-    wait_for("the peers' revision", || revision(&fleet, 2) == 7);
     wait_for("the stale offer to be seen", || {
         (0..4).any(|index| fleet.metric(index, "configs_older_total") > 0.0)
     });
+    // A fresh daemon asks its peers before it trusts the platform.
+    let taken = |index| {
+        fleet
+            .log(index)
+            .matches("E200 configuration accepted: 1@")
+            .count()
+    };
+    let before: Vec<_> = (0..4).map(taken).collect();
+    for index in 0..4 {
+        fleet.kill(index);
+        fleet.start_daemon(index);
+        wait_for("the peers' revision", || revision(&fleet, index) == 7);
+    }
+    let taken = |index| {
+        fleet
+            .log(index)
+            .matches("E200 configuration accepted: 1@")
+            .count()
+    };
+    assert_eq!(
+        (0..4).map(taken).collect::<Vec<_>>(),
+        before,
+        "the stale value was in force"
+    );
     for index in 0..4 {
         assert_eq!(revision(&fleet, index), 7);
     }
@@ -151,8 +171,15 @@
         (0..2).any(|index| fleet.log(index).contains("not fetched"))
     });
     assert_eq!(revision(&fleet, 0), 1);
-    fleet.platform.publish(&whole);
+    // The parts come late, and the manifest is not published again.
+    let start = Instant::now();
+    for (digest, bytes) in &whole.parts {
+        fleet
+            .platform
+            .put(&format!("/config/parts/{digest}"), bytes.clone());
+    }
     wait_revision(&fleet, 2);
+    assert!(start.elapsed() < IN_FORCE, "{:?}", start.elapsed());
 }
 
 #[test]
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -92,7 +92,8 @@
         loop {
             let due = self.spread.next_tick();
             let gossip = Arc::clone(&self.gossip);
-            let clock = self.node.clock;
+            let node = Arc::clone(&self.node);
+            let clock = node.clock;
             let heard = async {
                 let (peer, version, asks) = gossip.hear().await;
                 Brought::Event(SpreadEvent::PeerHas {
@@ -105,13 +106,19 @@
                 clock.sleep_until(due).await;
                 Brought::Event(SpreadEvent::Tick)
             };
+            let listed = node.board.hosts.listen();
+            let listed = async {
+                listed.await;
+                Brought::Event(SpreadEvent::Tick)
+            };
             let brought = async {
                 match inbox.recv().await {
                     Ok(brought) => brought,
                     Err(_) => future::pending().await,
                 }
             };
-            let next = future::or(brought, future::or(heard, ticked)).await;
+            let moved = future::or(listed, ticked);
+            let next = future::or(brought, future::or(heard, moved)).await;
             let event = self.take(next);
             self.step(event, &mut rng).await;
         }
@@ -126,6 +133,10 @@
 
     async fn step(&mut self, event: SpreadEvent, rng: &mut fastrand::Rng) {
         self.count_odd(event);
+        if matches!(event, SpreadEvent::FetchFailed) {
+            // The manifest is read again, although the platform's value stands.
+            self.tag = None;
+        }
         let hosts = self.node.board.hosts.share();
         let now = self.node.clock.now();
         for effect in self.spread.step(event, &hosts, now, rng) {
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -202,6 +202,7 @@
         max_retry_ms: fields.number_or("max_retry_ms", default.max_retry_ms, 10..=MAX_MILLIS),
         start_ms: fields.number_or("start_ms", default.start_ms, 0..=MAX_MILLIS),
         fetch_ms: fields.number_or("fetch_ms", default.fetch_ms, 10..=MAX_MILLIS),
+        peers_ms: fields.number_or("peers_ms", default.peers_ms, 0..=MAX_MILLIS),
     };
     let hosts_ms = fields.number_or("hosts_ms", 60_000, 20..=MAX_MILLIS);
     fields.finish();
