--- a/crates/mustardtiller-config/src/objects/refer.rs
+++ b/crates/mustardtiller-config/src/objects/refer.rs
@@ -1,5 +1,6 @@
 //! References between objects and limits of the whole set.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use crate::Fault;
@@ -71,9 +72,10 @@
 }
 
 fn names_of<'a>(sections: &'a [Section], kind: &str) -> Vec<&'a str> {
-    sections
+    let names: BTreeSet<&str> = sections
         .iter()
         .filter(|section| section.kind == kind)
         .map(|section| section.name.as_str())
-        .collect()
+        .collect();
+    names.into_iter().collect()
 }
--- /dev/null
+++ b/crates/mustardtiller-config/tests/object_check.rs
@@ -0,0 +1,189 @@
+//! The check of a whole set: every fault at once, and nothing half-valid.
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
+
+use mustardtiller_config::Artefact;
+use mustardtiller_config::ArtefactErrorKind;
+use mustardtiller_config::Configuration;
+use mustardtiller_config::Source;
+use mustardtiller_config::build;
+use mustardtiller_config::check;
+use mustardtiller_config::diff;
+
+const GOOD: &str = "
+[fleet f]
+revision = 3
+[place a]
+[place b]
+[path a.b]
+from = a
+to = b
+delay_us = 3000
+[caller c]
+share = 2
+[service s]
+hosts = s s.example
+weigh = cost
+[kind s.browse]
+service = s
+idempotent = yes
+deadline_ms = 100
+[kind s.order]
+service = s
+methods = POST
+path = /order
+deadline_ms = 100
+token = needed
+weigh = latency
+[upstream s-1]
+service = s
+place = a
+address = 127.0.0.1:1
+link = 127.0.0.1:2
+slots = 4
+";
+
+fn good() -> mustardtiller_config::ObjectSet {
+    check(&[Source::new("good.ini", GOOD)]).expect("the set is good")
+}
+
+#[test]
+fn every_fault_at_once() {
+    let text = "
+stray = 1
+[fleet f]
+revision = none
+[fleet g]
+revision = 1
+[place a]
+regoin = x
+[place a]
+[path p]
+from = a
+to = c
+delay_us = -4
+[servce s]
+[service s]
+hosts = one
+weigh = speed
+[service t]
+hosts = one
+[kind s.x]
+service = s
+methods = GET FETCH
+path = order
+hedge_percent = 5
+deadline_ms = 0
+[kind s.y]
+service = u
+deadline_ms = 5
+deadline_ms = 6
+[upstream s-1]
+service = s
+place = d
+address = localhost:80
+link = 127.0.0.1:2
+slots = 0
+[upstream s-2]
+service = s
+place = a
+address = 127.0.0.1:1
+link = 127.0.0.1:2
+slots = 4
+[kind a b c]
+no value
+";
+    let faults = check(&[Source::new("set.ini", text)]).expect_err("the set is bad");
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn an_empty_set_has_no_fleet() {
+    let faults = check(&[Source::new("empty.ini", "")]).expect_err("the set is bad");
+    assert!(faults[0].wrong.contains("no fleet"));
+}
+
+#[test]
+fn what_is_built_comes_back() {
+    let set = good();
+    let artefact = build(&set).expect("it fits");
+    let configuration = Configuration::assemble(&artefact).expect("it is whole");
+    assert_eq!(configuration.fleet, set.fleet);
+    let service = configuration
+        .service(&set.services[0].name)
+        .expect("it is there");
+    assert_eq!(**service, set.services[0]);
+    assert_eq!(build(&set).expect("it fits").version(), artefact.version());
+}
+
+#[test]
+fn kinds_match_the_longest_path() {
+    let set = good();
+    let name = |method, path| {
+        set.services[0]
+            .kind_of(method, path)
+            .map(|k| k.name.to_string())
+    };
+    assert_eq!(name("GET", "/x").as_deref(), Some("s.browse"));
+    assert_eq!(name("POST", "/order").as_deref(), Some("s.order"));
+    assert_eq!(name("POST", "/order/7").as_deref(), Some("s.order"));
+    assert_eq!(name("POST", "/orders"), None);
+}
+
+#[test]
+fn a_diff_says_what_changes_and_what_follows() {
+    let text = GOOD
+        .replace("slots = 4", "slots = 6")
+        .replace("[caller c]\nshare = 2\n", "")
+        .replace("[upstream s-1]", "[upstream s-9]")
+        .replace("weigh = cost\n", "");
+    let new = check(&[Source::new("new.ini", text)]).expect("the set is good");
+    insta::assert_snapshot!(diff(&good(), &new).join("\n"));
+    assert!(diff(&good(), &good()).is_empty());
+}
+
+#[test]
+fn a_part_with_another_content_is_refused() {
+    let built = build(&good()).expect("it fits");
+    let mut read = Artefact::from_manifest(built.manifest_bytes.clone()).expect("it is good");
+    let digest = read.missing()[0];
+    let error = read
+        .add_part(digest, b"else".to_vec())
+        .expect_err("it does not match");
+    assert_eq!(error.kind(), ArtefactErrorKind::Mismatch);
+    let error = Configuration::assemble(&read).expect_err("parts are missing");
+    assert_eq!(error.kind(), ArtefactErrorKind::Missing);
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_checked_without_a_panic(text in "[a-z\\[\\] =\\n\\r;#0-9.:-]{0,300}") {
+        let _ = check(&[Source::new("any.ini", text)]);
+    }
+
+    #[test]
+    fn any_manifest_is_refused_or_read(bytes in vec(any::<u8>(), 0..400)) {
+        if let Ok(artefact) = Artefact::from_manifest(bytes) {
+            let _ = Configuration::assemble(&artefact);
+        }
+    }
+
+    #[test]
+    fn a_changed_manifest_has_another_version(
+        index in any::<prop::sample::Index>(),
+        flip in 1_u8..=255,
+    ) {
+        let built = build(&good()).expect("it fits");
+        let mut bytes = built.manifest_bytes.clone();
+        let at = index.index(bytes.len());
+        bytes[at] ^= flip;
+        if let Ok(changed) = Artefact::from_manifest(bytes) {
+            prop_assert!(changed.version() != built.version());
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -0,0 +1,242 @@
+//! The link's edge: peers that make no sense.
+
+mod util;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use mustardtiller::core::NotRunReason;
+use mustardtiller::wire::BodyForm;
+use mustardtiller::wire::Frame;
+use mustardtiller::wire::FrameReader;
+use mustardtiller::wire::Hello;
+use mustardtiller::wire::PROTOCOL_VERSION;
+use mustardtiller::wire::RequestHead;
+use mustardtiller::wire::VerdictForm;
+use mustardtiller::wire::encode_frame;
+use util::Fleet;
+use util::FleetPlan;
+use util::wait_for;
+
+fn one() -> Fleet {
+    Fleet::start(FleetPlan {
+        upstreams: 1,
+        ..FleetPlan::default()
+    })
+}
+
+fn send(socket: &mut TcpStream, frame: &Frame) {
+    let mut buf = Vec::new();
+    encode_frame(frame, &mut buf).expect("the frame is small");
+    let _ = socket.write_all(&buf);
+}
+
+fn hello(version: u16, upstream: &str) -> Frame {
+    Frame::Hello(Hello {
+        version,
+        incarnation: 7,
+        upstream: upstream.to_owned(),
+    })
+}
+
+fn connect(fleet: &Fleet) -> TcpStream {
+    let socket = TcpStream::connect(fleet.link(0)).expect("the gate listens");
+    let patience = Some(Duration::from_secs(20));
+    socket
+        .set_read_timeout(patience)
+        .expect("a timeout can be set");
+    socket
+}
+
+/// Read frames until the gate closes the link.
+fn read_all(socket: &mut TcpStream) -> Vec<Frame> {
+    let mut bytes = Vec::new();
+    let _ = socket.read_to_end(&mut bytes);
+    let mut reader = FrameReader::default();
+    reader.extend(&bytes);
+    let mut frames = Vec::new();
+    while let Ok(Some(frame)) = reader.next_frame() {
+        frames.push(frame);
+    }
+    frames
+}
+
+fn browse(upstream: &str, deadline_micros: u64) -> RequestHead {
+    RequestHead {
+        upstream: upstream.to_owned(),
+        kind: "shop.browse".to_owned(),
+        caller: "other".to_owned(),
+        share: 1,
+        urgent: false,
+        method: "GET".to_owned(),
+        uri: "/item".to_owned(),
+        headers: Vec::new(),
+        deadline_micros,
+        token: None,
+        depth: 0,
+        retried: false,
+        body: BodyForm::Empty,
+    }
+}
+
+#[test]
+fn another_version_or_upstream_is_refused() {
+    let fleet = one();
+    for frame in [
+        hello(PROTOCOL_VERSION + 1, "shop-1"),
+        hello(PROTOCOL_VERSION, "shop-2"),
+    ] {
+        let mut socket = connect(&fleet);
+        send(&mut socket, &frame);
+        assert!(read_all(&mut socket).len() <= 1, "the gate went on");
+    }
+    assert!(fleet.metric(0, "handshakes_refused_total") >= 2.0);
+    assert!(fleet.log(0).contains("E304"));
+    assert_eq!(fleet.get(0, "/item").status, 200);
+}
+
+#[test]
+fn frames_that_make_no_sense_close_that_link_alone() {
+    let fleet = one();
+    let twice = Frame::Open {
+        stream: 1,
+        head: Box::new(browse("shop-1", u64::MAX / 2)),
+    };
+    let wrong: [Vec<Frame>; 3] = [
+        vec![Frame::AnswerEnd { stream: 9 }],
+        vec![Frame::Admitted { stream: 1 }],
+        vec![hello(PROTOCOL_VERSION, "shop-1")],
+    ];
+    for frames in wrong {
+        let mut socket = connect(&fleet);
+        send(&mut socket, &hello(PROTOCOL_VERSION, "shop-1"));
+        for frame in &frames {
+            send(&mut socket, frame);
+        }
+        read_all(&mut socket);
+    }
+    let mut socket = connect(&fleet);
+    send(&mut socket, &hello(PROTOCOL_VERSION, "shop-1"));
+    send(&mut socket, &twice);
+    send(&mut socket, &twice);
+    read_all(&mut socket);
+    assert!(fleet.metric(0, "frames_malformed_total") >= 3.0);
+    assert_eq!(fleet.get(0, "/item").status, 200);
+}
+
+#[test]
+fn random_bytes_and_frames_take_nothing_down() {
+    let fleet = one();
+    for seed in 0..60 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut socket = connect(&fleet);
+        if rng.bool() {
+            send(&mut socket, &hello(PROTOCOL_VERSION, "shop-1"));
+        }
+        let mut bytes = vec![0; rng.usize(1..400)];
+        rng.fill(&mut bytes);
+        if rng.bool() {
+            // A plausible length, so that the bytes reach the decoder.
+            let length = (bytes.len() - 1).min(200) as u32;
+            bytes.splice(..0, length.to_le_bytes());
+        }
+        let _ = socket.write_all(&bytes);
+        let _ = socket.shutdown(std::net::Shutdown::Write);
+        read_all(&mut socket);
+    }
+    assert_eq!(fleet.get(0, "/item").status, 200);
+}
+
+#[test]
+fn more_than_the_window_closes_the_link() {
+    let fleet = one();
+    let mut socket = connect(&fleet);
+    send(&mut socket, &hello(PROTOCOL_VERSION, "shop-1"));
+    let mut head = browse("shop-1", u64::MAX / 2);
+    head.method = "POST".to_owned();
+    head.uri = "/slow?delay_ms=3000".to_owned();
+    head.body = BodyForm::Streamed { length: None };
+    send(
+        &mut socket,
+        &Frame::Open {
+            stream: 1,
+            head: Box::new(head),
+        },
+    );
+    // Nobody reads the body of this request, so nothing is granted.
+    for _ in 0..2_000 {
+        let bytes = Bytes::from(vec![0; 16_384]);
+        send(&mut socket, &Frame::Data { stream: 1, bytes });
+    }
+    read_all(&mut socket);
+    wait_for("the overrun to be counted", || {
+        fleet.metric(0, "frames_malformed_total") >= 1.0
+    });
+    assert_eq!(fleet.get(0, "/item").status, 200);
+}
+
+#[test]
+fn datagrams_that_make_no_sense_are_counted() {
+    let fleet = one();
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    for seed in 0..50 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut bytes = vec![0; rng.usize(1..1_500)];
+        rng.fill(&mut bytes);
+        bytes[0] = 200;
+        socket
+            .send_to(&bytes, fleet.link(0))
+            .expect("loopback takes it");
+    }
+    wait_for("the datagrams to be counted", || {
+        fleet.metric(0, "datagrams_malformed_total") >= 1.0
+    });
+    assert_eq!(fleet.get(0, "/item").status, 200);
+}
+
+#[test]
+fn a_request_for_another_upstream_does_not_run() {
+    let fleet = one();
+    let mut socket = connect(&fleet);
+    send(&mut socket, &hello(PROTOCOL_VERSION, ""));
+    let requests = fleet.record.requests();
+    send(
+        &mut socket,
+        &Frame::Open {
+            stream: 1,
+            head: Box::new(browse("shop-9", u64::MAX / 2)),
+        },
+    );
+    send(
+        &mut socket,
+        &Frame::Open {
+            stream: 2,
+            head: Box::new(browse("shop-1", 1)),
+        },
+    );
+    let mut reader = FrameReader::default();
+    let mut refused = Vec::new();
+    while refused.len() < 2 {
+        let mut buf = [0; 4_096];
+        let count = socket.read(&mut buf).expect("the gate answers both");
+        reader.extend(&buf[..count]);
+        while let Some(frame) = reader.next_frame().expect("the gate sends frames") {
+            if let Frame::Refused {
+                stream, verdict, ..
+            } = frame
+            {
+                refused.push((stream, verdict));
+            }
+        }
+    }
+    refused.sort_by_key(|(stream, _)| *stream);
+    let expected = [NotRunReason::WrongUpstream, NotRunReason::DeadlinePassed];
+    let expected = expected.map(|reason| VerdictForm::NotRun(reason.code()));
+    assert_eq!(refused, [(1, expected[0]), (2, expected[1])]);
+    assert_eq!(fleet.record.requests(), requests);
+}
--- a/crates/mustardtiller/src/front/request.rs
+++ b/crates/mustardtiller/src/front/request.rs
@@ -1,4 +1,7 @@
 //! HTTP requests to calls.
+//!
+//! The library refuses lengths that conflict, and lets a transfer encoding
+//! override a length and strip it (RFC 9112, section 6.3).
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -8,9 +11,7 @@
 use hyper::Request;
 use hyper::body::Body;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
-use hyper::header::TRANSFER_ENCODING;
 
 use super::body::CallerBody;
 use crate::daemon::Node;
@@ -78,7 +79,6 @@
 pub async fn read_call(node: &Node, req: Request<Incoming>) -> Result<Call, BadCall> {
     let host = host_of(&req)?;
     let headers = req.headers();
-    check_lengths(headers)?;
     if req.method() == Method::CONNECT || headers.contains_key(hyper::header::UPGRADE) {
         return Err(bad("no tunnels or upgrades"));
     }
@@ -150,18 +150,6 @@
     }
 }
 
-/// Refuse what RFC 9112, section 6.3, calls an error or a likely attack.
-fn check_lengths(headers: &HeaderMap) -> Result<(), BadCall> {
-    let lengths: Vec<_> = headers.get_all(CONTENT_LENGTH).iter().collect();
-    if lengths.iter().any(|length| *length != lengths[0]) {
-        return Err(bad("two content lengths"));
-    }
-    if !lengths.is_empty() && headers.contains_key(TRANSFER_ENCODING) {
-        return Err(bad("content length and transfer encoding"));
-    }
-    Ok(())
-}
-
 /// Return the deadline that the request brings.
 ///
 /// An absolute deadline comes from an upstream on this host, whose wall clock
