feat(lab): measure the choice of an upstream against baselines in given time

Fakes of upstreams whose speed shifts each 5 to 50 ms, under the daemon's own choice and signals; arrivals, shifts and the work of each request are the same for every policy.

Tried and reverted: gates report a smoothed service time with each answer and the score uses it in place of the answer's latency. Cause: a shift lasts as long as the first slow answers take, so no report of completed work can tell it in time. It costs bytes and a field, so it went.

--- /dev/null
+++ b/crates/mustardtiller-standin/src/bin/standin-lab.rs
@@ -0,0 +1,56 @@
+//! Prints the tables that compare the choice of an upstream with baselines.
+
+use mustardtiller::core::Policy;
+use mustardtiller::core::Weigh;
+use mustardtiller_standin::LabPolicy;
+use mustardtiller_standin::Scenario;
+use mustardtiller_standin::run_scenario;
+use mustardtiller_standin::table;
+
+fn main() {
+    let forge = Scenario::forge();
+    let doormats = Scenario::doormats();
+    let failing = Scenario {
+        name: "forge katalog, one fails fast, 60%",
+        failing: true,
+        load_percent: 60,
+        ..forge
+    };
+    let steady = Scenario {
+        name: "forge katalog, steady, 85%",
+        shifting: false,
+        ..forge
+    };
+    for (scenario, weigh) in [
+        (forge, Weigh::Latency),
+        (steady, Weigh::Latency),
+        (doormats, Weigh::Cost),
+        (failing, Weigh::Latency),
+    ] {
+        let mut results: Vec<_> = LabPolicy::all(weigh)
+            .into_iter()
+            .map(|policy| run_scenario(&scenario, policy))
+            .collect();
+        if std::env::args().any(|argument| argument == "--variants") {
+            for draws in [1, 2, 3, 5] {
+                let policy = Policy {
+                    draws,
+                    weigh,
+                    ..Policy::default()
+                };
+                results.push(run_scenario(&scenario, LabPolicy::Ours(policy)));
+            }
+            for half_life_micros in [5_000, 20_000, 200_000] {
+                let policy = Policy {
+                    half_life_micros,
+                    weigh,
+                    ..Policy::default()
+                };
+                let mut result = run_scenario(&scenario, LabPolicy::Ours(policy));
+                result.policy = format!("{}, half-life {half_life_micros} us", result.policy);
+                results.push(result);
+            }
+        }
+        println!("{}", table(scenario.name, &results));
+    }
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/src/lab/fleet.rs
@@ -0,0 +1,383 @@
+//! One run: entries, upstreams and the events between them.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+
+use mustardtiller::Signals;
+use mustardtiller::core::Instant;
+use mustardtiller::core::Sample;
+use mustardtiller::core::choose;
+use mustardtiller::wire::LoadReport;
+
+use super::policy::LabPolicy;
+use super::policy::STALE_MICROS;
+use super::scenario::Scenario;
+use super::tables::LabResult;
+
+/// Time of a failing upstream's error, in microseconds.
+const FAIL_MICROS: u64 = 200;
+
+/// Time after the failure from which its draw is counted, in microseconds.
+const NOTICE_MICROS: u64 = 100_000;
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrival,
+    Reach {
+        upstream: usize,
+        request: usize,
+    },
+    Done {
+        upstream: usize,
+        request: usize,
+        failed: bool,
+    },
+    Answer {
+        upstream: usize,
+        request: usize,
+        failed: bool,
+        in_flight: u32,
+    },
+    Shift {
+        upstream: usize,
+    },
+    Poll,
+}
+
+struct Upstream {
+    running: u32,
+    waiting: VecDeque<usize>,
+    speed_percent: u64,
+}
+
+struct Request {
+    entry: usize,
+    began: u64,
+}
+
+struct Lab<'a> {
+    scenario: &'a Scenario,
+    policy: LabPolicy,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    order: u64,
+    upstreams: Vec<Upstream>,
+    requests: Vec<Request>,
+    /// Signals by entry and upstream.
+    signals: Vec<Vec<Signals>>,
+    polled: Vec<u32>,
+    turn: Vec<usize>,
+    arrivals: fastrand::Rng,
+    shifts: fastrand::Rng,
+    draws: fastrand::Rng,
+    fails_at: u64,
+    result: LabResult,
+}
+
+/// Run a scenario under a policy.
+#[must_use]
+pub fn run_scenario(scenario: &Scenario, policy: LabPolicy) -> LabResult {
+    let mut lab = Lab::new(scenario, policy);
+    while let Some(Reverse((now, _, event))) = lab.events.pop() {
+        lab.take(now, event);
+    }
+    lab.result.sorted_micros.sort_unstable();
+    lab.result
+}
+
+impl<'a> Lab<'a> {
+    fn new(scenario: &'a Scenario, policy: LabPolicy) -> Self {
+        let upstreams = (0..scenario.upstreams).map(|_| Upstream {
+            running: 0,
+            waiting: VecDeque::new(),
+            speed_percent: 100,
+        });
+        let signals = (0..scenario.entries).map(|_| {
+            let one = (0..scenario.upstreams).map(|_| Signals::new(scenario.slots));
+            one.collect()
+        });
+        let span = scenario.requests as u64 * mean_gap_micros(scenario);
+        let mut lab = Self {
+            scenario,
+            policy,
+            events: BinaryHeap::new(),
+            order: 0,
+            upstreams: upstreams.collect(),
+            requests: Vec::with_capacity(scenario.requests),
+            signals: signals.collect(),
+            polled: vec![0; scenario.upstreams],
+            turn: (0..scenario.entries).collect(),
+            arrivals: fastrand::Rng::with_seed(scenario.seed),
+            shifts: fastrand::Rng::with_seed(scenario.seed + 1),
+            draws: fastrand::Rng::with_seed(scenario.seed + 2),
+            fails_at: if scenario.failing { span / 3 } else { u64::MAX },
+            result: LabResult {
+                policy: policy.name(),
+                sorted_micros: Vec::with_capacity(scenario.requests),
+                errors: 0,
+                probes: 0,
+                across: 0,
+                to_failing: 0,
+                since_failing: 0,
+                requests: 0,
+            },
+        };
+        lab.push(0, Event::Arrival);
+        if scenario.shifting {
+            for upstream in 0..scenario.upstreams {
+                lab.push(0, Event::Shift { upstream });
+            }
+        }
+        if policy.polls() {
+            lab.push(0, Event::Poll);
+        }
+        lab
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((at, self.order, event)));
+    }
+
+    fn ended(&self) -> bool {
+        self.requests.len() >= self.scenario.requests
+    }
+
+    fn take(&mut self, now: u64, event: Event) {
+        match event {
+            Event::Arrival => self.arrive(now),
+            Event::Reach { upstream, request } => self.reach(now, upstream, request),
+            Event::Done {
+                upstream,
+                request,
+                failed,
+            } => self.done(now, upstream, request, failed),
+            Event::Answer {
+                upstream,
+                request,
+                failed,
+                in_flight,
+            } => {
+                self.answer(now, upstream, request, failed, in_flight);
+            }
+            Event::Shift { upstream } => self.shift(now, upstream),
+            Event::Poll => self.poll(now),
+        }
+    }
+
+    fn arrive(&mut self, now: u64) {
+        let entry = self.arrivals.usize(..self.scenario.entries);
+        let gap = exponential(&mut self.arrivals, mean_gap_micros(self.scenario));
+        let request = self.requests.len();
+        self.requests.push(Request { entry, began: now });
+        let upstream = self.choose(now, entry);
+        self.signals[entry][upstream].began();
+        self.count(now, entry, upstream);
+        let delay = self.delay(entry, upstream);
+        self.push(now + delay, Event::Reach { upstream, request });
+        if !self.ended() {
+            self.push(now + gap, Event::Arrival);
+        }
+    }
+
+    fn count(&mut self, now: u64, entry: usize, upstream: usize) {
+        self.result.requests += 1;
+        self.result.across += u64::from(self.is_across(entry, upstream));
+        if now > self.fails_at.saturating_add(NOTICE_MICROS) {
+            self.result.since_failing += 1;
+            self.result.to_failing += u64::from(upstream == 0);
+        }
+    }
+
+    fn reach(&mut self, now: u64, upstream: usize, request: usize) {
+        let failing = upstream == 0 && now >= self.fails_at;
+        let server = &mut self.upstreams[upstream];
+        if failing {
+            self.push(
+                now + FAIL_MICROS,
+                Event::Done {
+                    upstream,
+                    request,
+                    failed: true,
+                },
+            );
+        } else if server.running < self.scenario.slots {
+            server.running += 1;
+            self.serve(now, upstream, request);
+        } else if server.waiting.len() < self.scenario.queue {
+            server.waiting.push_back(request);
+        } else {
+            self.push(
+                now,
+                Event::Done {
+                    upstream,
+                    request,
+                    failed: true,
+                },
+            );
+        }
+    }
+
+    fn serve(&mut self, now: u64, upstream: usize, request: usize) {
+        let mean = self.scenario.service_micros * 100 / self.upstreams[upstream].speed_percent;
+        // Half of the time is fixed, half is spread.
+        let mut rng = fastrand::Rng::with_seed(self.scenario.seed << 32 | request as u64);
+        let micros = mean / 2 + exponential(&mut rng, mean / 2);
+        self.push(
+            now + micros,
+            Event::Done {
+                upstream,
+                request,
+                failed: false,
+            },
+        );
+    }
+
+    fn done(&mut self, now: u64, upstream: usize, request: usize, failed: bool) {
+        if !failed {
+            match self.upstreams[upstream].waiting.pop_front() {
+                Some(next) => self.serve(now, upstream, next),
+                None => self.upstreams[upstream].running -= 1,
+            }
+        }
+        let server = &self.upstreams[upstream];
+        let in_flight = server.running + server.waiting.len() as u32;
+        let delay = self.delay(self.requests[request].entry, upstream);
+        self.push(
+            now + delay,
+            Event::Answer {
+                upstream,
+                request,
+                failed,
+                in_flight,
+            },
+        );
+    }
+
+    fn answer(&mut self, now: u64, upstream: usize, request: usize, failed: bool, in_flight: u32) {
+        let Request { entry, began } = self.requests[request];
+        let signals = &self.signals[entry][upstream];
+        let at = Instant::from_micros(now);
+        let load = LoadReport {
+            in_flight,
+            limit: self.scenario.slots,
+            ramp_milli: 1_000,
+            leaving: false,
+        };
+        signals.heard(load, at);
+        signals.answered(now - began, failed, at);
+        signals.ended();
+        if failed {
+            self.result.errors += 1;
+        } else {
+            self.result.sorted_micros.push(now - began);
+        }
+    }
+
+    fn shift(&mut self, now: u64, upstream: usize) {
+        // A noisy neighbour takes up to two thirds of the speed, a quarter of the time.
+        self.upstreams[upstream].speed_percent = if self.shifts.u8(0..4) == 0 {
+            self.shifts.u64(33..70)
+        } else {
+            100
+        };
+        let next = now + self.shifts.u64(5_000..50_000);
+        if !self.ended() {
+            self.push(next, Event::Shift { upstream });
+        }
+    }
+
+    fn poll(&mut self, now: u64) {
+        for (polled, server) in self.polled.iter_mut().zip(&self.upstreams) {
+            *polled = server.running + server.waiting.len() as u32;
+        }
+        self.result.probes += (self.scenario.upstreams * self.scenario.entries) as u64;
+        if !self.ended() {
+            self.push(now + STALE_MICROS, Event::Poll);
+        }
+    }
+
+    fn choose(&mut self, now: u64, entry: usize) -> usize {
+        let count = self.scenario.upstreams;
+        match self.policy {
+            LabPolicy::RoundRobin => {
+                self.turn[entry] += 1;
+                self.turn[entry] % count
+            }
+            LabPolicy::Random => self.draws.usize(..count),
+            LabPolicy::LeastStale => self.least_polled(0..count),
+            LabPolicy::TwoStale => {
+                let (one, other) = (self.draws.usize(..count), self.draws.usize(..count));
+                self.least_polled([one, other].into_iter())
+            }
+            LabPolicy::Ours(policy) => {
+                let at = Instant::from_micros(now);
+                let samples: Vec<Sample> = (0..count)
+                    .map(|upstream| {
+                        let price = self.price(entry, upstream);
+                        self.signals[entry][upstream].sample(true, price, at)
+                    })
+                    .collect();
+                let choice = choose(&samples, &policy, &mut self.draws);
+                choice.map_or(0, |choice| choice.index)
+            }
+            LabPolicy::Oracle => self.best_now(now, entry),
+        }
+    }
+
+    fn least_polled(&self, candidates: impl Iterator<Item = usize>) -> usize {
+        candidates
+            .min_by_key(|upstream| self.polled[*upstream])
+            .unwrap_or(0)
+    }
+
+    /// Return the upstream that would answer first, by its queue and speed now.
+    fn best_now(&self, now: u64, entry: usize) -> usize {
+        let expected = |upstream: usize| {
+            let server = &self.upstreams[upstream];
+            let mean = self.scenario.service_micros * 100 / server.speed_percent;
+            let ahead = u64::from(server.running) + server.waiting.len() as u64 + 1;
+            let slots = u64::from(self.scenario.slots);
+            let waiting = mean * ahead.saturating_sub(slots) / slots;
+            let failing = upstream == 0 && now >= self.fails_at;
+            let penalty = if failing { u64::MAX / 4 } else { 0 };
+            mean + waiting + mean * ahead / slots / 100 + self.delay(entry, upstream) * 2 + penalty
+        };
+        (0..self.scenario.upstreams)
+            .min_by_key(|upstream| expected(*upstream))
+            .unwrap_or(0)
+    }
+
+    const fn is_across(&self, entry: usize, upstream: usize) -> bool {
+        entry % self.scenario.places != upstream % self.scenario.places
+    }
+
+    const fn delay(&self, entry: usize, upstream: usize) -> u64 {
+        if self.is_across(entry, upstream) {
+            self.scenario.delay_micros
+        } else {
+            100
+        }
+    }
+
+    const fn price(&self, entry: usize, upstream: usize) -> u32 {
+        if self.is_across(entry, upstream) {
+            self.scenario.price_micros + self.scenario.delay_micros as u32 * 2
+        } else {
+            0
+        }
+    }
+}
+
+/// Return the mean time between two requests, in microseconds.
+fn mean_gap_micros(scenario: &Scenario) -> u64 {
+    // A shifting upstream runs at 0.88 of its speed on average.
+    let speed_percent = if scenario.shifting { 88 } else { 100 };
+    let slots = u64::from(scenario.slots) * scenario.upstreams as u64;
+    scenario.service_micros * 10_000 / (slots * scenario.load_percent * speed_percent)
+}
+
+fn exponential(rng: &mut fastrand::Rng, mean: u64) -> u64 {
+    let draw = rng.f64().max(1e-9);
+    (-draw.ln() * mean as f64) as u64
+}
--- /dev/null
+++ b/crates/mustardtiller-standin/src/lab/tables.rs
@@ -0,0 +1,60 @@
+//! Results as a table.
+
+use std::fmt::Write as _;
+
+/// What came of one policy in one scenario.
+#[derive(Clone, Debug)]
+pub struct LabResult {
+    /// The policy.
+    pub policy: String,
+    /// Times of answered requests, in microseconds, in order.
+    pub sorted_micros: Vec<u64>,
+    /// Requests that failed or were refused.
+    pub errors: u64,
+    /// Polls and probes.
+    pub probes: u64,
+    /// Requests to another place.
+    pub across: u64,
+    /// Requests to the first upstream from 100 ms after it failed.
+    pub to_failing: u64,
+    /// Requests from then on.
+    pub since_failing: u64,
+    /// All requests.
+    pub requests: u64,
+}
+
+impl LabResult {
+    /// Return a quantile of the times, in milliseconds.
+    #[must_use]
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        let last = self.sorted_micros.len().saturating_sub(1);
+        let index = (last as f64 * quantile) as usize;
+        self.sorted_micros
+            .get(index)
+            .map_or(0.0, |micros| *micros as f64 / 1_000.0)
+    }
+}
+
+/// Write results as a table of Markdown.
+#[must_use]
+pub fn table(name: &str, results: &[LabResult]) -> String {
+    let mut text = format!("### {name}\n\n");
+    text += "| policy | p50 ms | p99 ms | p99.9 ms | errors | probes a request | across places | to the failing |\n";
+    text += "| --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    for result in results {
+        let all = result.requests.max(1) as f64;
+        let _ = writeln!(
+            text,
+            "| {} | {:.1} | {:.1} | {:.1} | {:.3}% | {:.3} | {:.0}% | {:.1}% |",
+            result.policy,
+            result.quantile_ms(0.5),
+            result.quantile_ms(0.99),
+            result.quantile_ms(0.999),
+            result.errors as f64 * 100.0 / all,
+            result.probes as f64 / all,
+            result.across as f64 * 100.0 / all,
+            result.to_failing as f64 * 100.0 / result.since_failing.max(1) as f64,
+        );
+    }
+    text
+}
--- a/crates/mustardtiller-standin/src/lib.rs
+++ b/crates/mustardtiller-standin/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod client;
+mod lab;
 mod load;
 mod pipe;
 mod platform;
@@ -25,6 +26,11 @@
 pub use client::call_on;
 pub use client::http_call;
 pub use client::open_connection;
+pub use lab::LabPolicy;
+pub use lab::LabResult;
+pub use lab::Scenario;
+pub use lab::run_scenario;
+pub use lab::table;
 pub use load::LoadPlan;
 pub use load::LoadReport;
 pub use load::run_load;
