--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -208,7 +208,7 @@
         {
             self.fetching = None;
         }
-        if self.ask_first(hosts, now) || self.next_gossip.has_passed(now) {
+        if self.ask_first(hosts, now, rng) || self.next_gossip.has_passed(now) {
             let millis = jittered(self.rule.gossip_ms, rng);
             self.next_gossip = Deadline::in_millis(now, millis);
             let count = if self.held.revision == 0 {
@@ -230,12 +230,18 @@
     /// Report, once, that peers are known who can be asked before the platform.
     ///
     /// The first read of the platform waits for their answers: it may be stale.
-    fn ask_first(&mut self, hosts: &HostList, now: Instant) -> bool {
+    /// Who is no reader waits longer, so that a restart of all reads little.
+    fn ask_first(&mut self, hosts: &HostList, now: Instant, rng: &mut fastrand::Rng) -> bool {
         if self.peers_asked || self.held.revision > 0 || hosts.members.is_empty() {
             return false;
         }
         self.peers_asked = true;
-        self.next_read = Deadline::in_millis(now, self.rule.peers_ms);
+        let others_first = if hosts.is_reader(&self.me, self.rule.readers) {
+            0
+        } else {
+            self.rule.start_ms + rng.u64(0..=self.rule.start_ms)
+        };
+        self.next_read = Deadline::in_millis(now, self.rule.peers_ms + others_first);
         true
     }
 
--- a/crates/mustardtiller/src/controllers/hosts.rs
+++ b/crates/mustardtiller/src/controllers/hosts.rs
@@ -17,7 +17,7 @@
 pub async fn control_hosts(node: Arc<Node>, platform: Arc<dyn PlatformSource>) {
     let mut rng = node.rng();
     let start_ms = node.settings.spread.start_ms;
-    node.clock.sleep_millis(rng.u64(0..=start_ms / 2)).await;
+    node.clock.sleep_millis(rng.u64(0..=start_ms)).await;
     let mut failures = 0_u32;
     loop {
         node.metrics.count(Counted::PlatformReads);
