--- /dev/null
+++ b/crates/mustardtiller-standin/src/capacity/slopes.rs
@@ -0,0 +1,84 @@
+//! The slopes, read from the file that holds what was measured.
+
+use mustardtiller::config::Document;
+use mustardtiller::config::Fault;
+use mustardtiller::config::Fields;
+use mustardtiller::config::Section;
+use mustardtiller::config::Source;
+
+/// Largest value of a slope.
+const MAX_SLOPE: u64 = 1_000_000_000;
+
+/// What one daemon's control costs, in whole units.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Slopes {
+    /// Resident memory of a daemon that knows nobody, in bytes.
+    pub rest_bytes: u64,
+    /// Memory for each upstream of the fleet, in bytes.
+    pub upstream_bytes: u64,
+    /// Memory for each link, in bytes.
+    pub link_bytes: u64,
+    /// Manifest for each service, in bytes.
+    pub manifest_service_bytes: u64,
+    /// Parts for each upstream, in bytes.
+    pub part_upstream_bytes: u64,
+    /// Processor at rest, in millionths of a core.
+    pub rest_micro_cores: u64,
+    /// Processor for each link at rest, in millionths of a core.
+    pub link_micro_cores: u64,
+    /// Processor for a change, for each upstream of the fleet, in nanoseconds.
+    pub change_upstream_nanos: u64,
+    /// Gossip sent and received, in bytes a second.
+    pub gossip_bytes_per_s: u64,
+    /// Ping and pong on an idle link, both ways with headers, in bytes.
+    pub ping_bytes: u64,
+    /// Time between two pings on an idle link, in seconds.
+    pub ping_every_s: u64,
+    /// Check of a set by the operators' command, for each upstream, in microseconds.
+    pub check_upstream_micros: u64,
+}
+
+impl Slopes {
+    /// Read slopes from an INI text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text.
+    pub fn read(source: &Source) -> Result<Self, Vec<Fault>> {
+        let mut faults = Vec::new();
+        let document = Document::read(source, &mut faults);
+        let section = document
+            .sections
+            .first()
+            .cloned()
+            .unwrap_or_else(|| Section {
+                file: source.file.clone(),
+                line: 1,
+                kind: "slopes".to_owned(),
+                name: String::new(),
+                entries: Vec::new(),
+            });
+        let mut fields = Fields::new(&section, &mut faults);
+        let mut slope = |key| fields.number(key, 0..=MAX_SLOPE).unwrap_or(0);
+        let slopes = Self {
+            rest_bytes: slope("rest_bytes"),
+            upstream_bytes: slope("upstream_bytes"),
+            link_bytes: slope("link_bytes"),
+            manifest_service_bytes: slope("manifest_service_bytes"),
+            part_upstream_bytes: slope("part_upstream_bytes"),
+            rest_micro_cores: slope("rest_micro_cores"),
+            link_micro_cores: slope("link_micro_cores"),
+            change_upstream_nanos: slope("change_upstream_nanos"),
+            gossip_bytes_per_s: slope("gossip_bytes_per_s"),
+            ping_bytes: slope("ping_bytes"),
+            ping_every_s: slope("ping_every_s"),
+            check_upstream_micros: slope("check_upstream_micros"),
+        };
+        fields.finish();
+        if faults.is_empty() {
+            Ok(slopes)
+        } else {
+            Err(faults)
+        }
+    }
+}
--- a/crates/mustardtiller-standin/src/lib.rs
+++ b/crates/mustardtiller-standin/src/lib.rs
@@ -13,6 +13,7 @@
 //! assert_ne!(content(7, 64), content(8, 64));
 //! ```
 
+mod capacity;
 mod client;
 mod lab;
 mod load;
@@ -21,6 +22,9 @@
 mod runner;
 mod upstream;
 
+pub use capacity::Size;
+pub use capacity::Slopes;
+pub use capacity::capacity_table;
 pub use client::HttpAnswer;
 pub use client::HttpCall;
 pub use client::call_on;
