--- /dev/null
+++ b/crates/mustardtiller-standin/tests/capacity_page.rs
@@ -0,0 +1,39 @@
+//! The capacity page holds the table that the measured slopes give.
+
+use mustardtiller::config::Source;
+use mustardtiller_standin::Size;
+use mustardtiller_standin::Slopes;
+use mustardtiller_standin::capacity_table;
+
+#[test]
+fn the_page_holds_the_table() {
+    let slopes = Source::new("slopes.ini", include_str!("../../../docs/slopes.ini"));
+    let slopes = Slopes::read(&slopes).expect("the slopes are good");
+    let target = Size {
+        upstreams: 4_800,
+        services: 190,
+        services_called: 22,
+        subset: 20,
+        places: 13,
+        readers: 3,
+        changes_per_day: 8_000,
+        hosts_every_s: 60,
+    };
+    let page = include_str!("../../../docs/CAPACITY.md");
+    let table = capacity_table(&slopes, &target);
+    assert!(
+        page.contains(&table),
+        "docs/CAPACITY.md should hold:\n{table}"
+    );
+}
+
+#[test]
+fn a_slope_that_is_missing_is_a_fault() {
+    let faults = Slopes::read(&Source::new("slopes.ini", "[slopes]\nrest_byte = 1\n"));
+    let faults = faults.expect_err("the slopes are not whole");
+    assert!(
+        faults
+            .iter()
+            .any(|fault| fault.right == "did you mean `rest_bytes`?")
+    );
+}
