--- a/crates/mustardtiller-standin/tests/planned_stop.rs
+++ b/crates/mustardtiller-standin/tests/planned_stop.rs
@@ -2,6 +2,10 @@
 
 mod util;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
 use mustardtiller_standin::HttpCall;
 use mustardtiller_standin::LoadPlan;
 use mustardtiller_standin::content;
@@ -127,3 +131,36 @@
         assert!(!fleet.log(index).contains("E103"), "the stop cut something");
     }
 }
+
+#[test]
+fn a_slow_reader_gets_its_whole_answer() {
+    let mut fleet = Fleet::start(plan());
+    fleet.wait_links(0);
+    let mut socket = TcpStream::connect(fleet.entry(0)).expect("the entry listens");
+    let request = format!("GET /bytes/16000000?seed=8 HTTP/1.1\r\nhost: {HOST}\r\n\r\n");
+    socket
+        .write_all(request.as_bytes())
+        .expect("the entry reads");
+    let mut buf = vec![0; 64 * 1024];
+    let mut read = socket.read(&mut buf).expect("the answer begins");
+    fleet.signal(0, rustix::process::Signal::TERM);
+    wait_for("the daemon to be withdrawn", || {
+        fleet.log(0).contains("E101")
+    });
+    let mut tail = Vec::new();
+    loop {
+        // A caller on a slow line.
+        std::thread::sleep(std::time::Duration::from_millis(2));
+        let count = socket.read(&mut buf).unwrap_or(0);
+        if count == 0 {
+            break;
+        }
+        read += count;
+        tail.extend_from_slice(&buf[count.saturating_sub(5)..count]);
+    }
+    assert!(
+        read > 16_000_000,
+        "{read} bytes came of an answer of 16,000,000"
+    );
+    assert!(tail.ends_with(b"0\r\n\r\n"), "the answer was cut");
+}
--- /dev/null
+++ b/crates/mustardtiller/benches/request_path.rs
@@ -0,0 +1,81 @@
+//! The cost of a decision on the path of a request.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+
+use mustardtiller::Counted;
+use mustardtiller::Metrics;
+use mustardtiller::Signals;
+use mustardtiller::Snapshot;
+use mustardtiller::core::Instant;
+use mustardtiller::core::Policy;
+use mustardtiller::core::Sample;
+use mustardtiller::core::choose;
+use mustardtiller::wire::LoadReport;
+
+/// Read the signals of all candidates and choose one.
+fn choice(c: &mut Criterion) {
+    let mut group = c.benchmark_group("choose");
+    for count in [4, 25, 200] {
+        let signals: Vec<Signals> = (0..count).map(|_| Signals::new(12)).collect();
+        for (index, one) in signals.iter().enumerate() {
+            let load = LoadReport {
+                in_flight: index as u32 % 9,
+                limit: 12,
+                ramp_milli: 1_000,
+                leaving: false,
+            };
+            one.heard(load, Instant::from_micros(100));
+        }
+        let mut rng = fastrand::Rng::with_seed(1);
+        let mut samples: Vec<Sample> = Vec::with_capacity(count);
+        group.bench_function(BenchmarkId::from_parameter(count), |b| {
+            b.iter(|| {
+                let now = Instant::from_micros(900);
+                samples.clear();
+                samples.extend(signals.iter().map(|one| one.sample(true, 0, now)));
+                black_box(choose(&samples, &Policy::default(), &mut rng))
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Read a snapshot while another thread swaps it.
+fn snapshot(c: &mut Criterion) {
+    let section = Arc::new(Snapshot::new(vec![0_u64; 64]));
+    let ended = Arc::new(AtomicBool::new(false));
+    let (swapped, stop) = (Arc::clone(&section), Arc::clone(&ended));
+    let writer = thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            swapped.publish(Arc::new(vec![1; 64]));
+        }
+    });
+    c.bench_function("snapshot read under swaps", |b| {
+        b.iter(|| black_box(section.read()[7]))
+    });
+    ended.store(true, Ordering::Relaxed);
+    writer.join().expect("the writer ends by return");
+}
+
+/// Count one event.
+fn counter(c: &mut Criterion) {
+    let metrics = Metrics::new();
+    c.bench_function("count", |b| {
+        b.iter(|| metrics.count(black_box(Counted::Requests)))
+    });
+}
+
+fn main() {
+    let mut c = Criterion::default().configure_from_args();
+    choice(&mut c);
+    snapshot(&mut c);
+    counter(&mut c);
+    c.final_summary();
+}
