perf(config): find the own upstream without a scan

The gate looked its own upstream up for each request by comparing names through every service, 4,800 at the target's size; the configuration now holds each upstream's owner. An artefact's fleet part was decoded twice for each configuration accepted; once now. One iterator serves the three places that walked all upstreams of a service, and one function the two that made a link on first use. Behaviour is as before. Not measured: the slopes of docs/CAPACITY.md were taken without the new index.

--- a/crates/mustardtiller-config/src/artefact/read.rs
+++ b/crates/mustardtiller-config/src/artefact/read.rs
@@ -126,8 +126,7 @@
         })
     }
 
-    pub(crate) fn services(&self) -> Result<Vec<Service>, ArtefactError> {
-        let fleet = self.fleet()?;
+    pub(crate) fn services(&self, fleet: &Fleet) -> Result<Vec<Service>, ArtefactError> {
         let places: HashSet<&PlaceName> = fleet.places.iter().map(|place| &place.name).collect();
         let mut services = Vec::new();
         let mut links = HashSet::new();
--- a/crates/mustardtiller-config/src/model/configuration.rs
+++ b/crates/mustardtiller-config/src/model/configuration.rs
@@ -25,6 +25,7 @@
     pub fleet: Fleet,
     services: HashMap<ServiceName, Arc<Service>>,
     hosts: HashMap<Arc<str>, ServiceName>,
+    owners: HashMap<UpstreamName, ServiceName>,
     callers: HashMap<CallerName, Caller>,
     paths: HashMap<(PlaceName, PlaceName), Path>,
 }
@@ -38,7 +39,7 @@
     /// nothing of the artefact is used.
     pub fn assemble(artefact: &Artefact) -> Result<Self, ArtefactError> {
         let fleet = artefact.fleet()?;
-        let services = artefact.services()?;
+        let services = artefact.services(&fleet)?;
         let version = artefact.version();
         Ok(Self::join(version, fleet, services, artefact.hosts()))
     }
@@ -63,9 +64,8 @@
     /// Find an upstream and its service.
     #[must_use]
     pub fn upstream(&self, name: &UpstreamName) -> Option<(&Arc<Service>, &Arc<Upstream>)> {
-        self.services
-            .values()
-            .find_map(|service| Some((service, service.upstream(name)?)))
+        let service = self.services.get(self.owners.get(name)?)?;
+        Some((service, service.upstream(name)?))
     }
 
     /// Return a caller by name.
@@ -96,6 +96,11 @@
             paths.insert((path.from.clone(), path.to.clone()), path.clone());
             paths.insert((path.to.clone(), path.from.clone()), path.clone());
         }
+        let owners = services
+            .iter()
+            .flat_map(|service| service.upstreams.iter().map(move |u| (u, &service.name)))
+            .map(|(upstream, owner)| (upstream.name.clone(), owner.clone()))
+            .collect();
         let services = services
             .into_iter()
             .map(|service| (service.name.clone(), Arc::new(service)))
@@ -105,6 +110,7 @@
             fleet,
             services,
             hosts,
+            owners,
             callers,
             paths,
         }
--- a/crates/mustardtiller/src/board/routes.rs
+++ b/crates/mustardtiller/src/board/routes.rs
@@ -27,11 +27,16 @@
 }
 
 impl ServiceRoutes {
+    /// Return every upstream of the service.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Candidate>> {
+        self.candidates.iter().chain(&self.others)
+    }
+
     /// Find any upstream of the service.
     #[must_use]
     pub fn find(&self, name: &UpstreamName) -> Option<&Arc<Candidate>> {
-        let mut all = self.candidates.iter().chain(&self.others);
-        all.find(|candidate| candidate.upstream.name == *name)
+        self.all()
+            .find(|candidate| candidate.upstream.name == *name)
     }
 
     /// Find the kind of a request.
--- a/crates/mustardtiller/src/controllers/links.rs
+++ b/crates/mustardtiller/src/controllers/links.rs
@@ -23,7 +23,7 @@
         let mut next = HashMap::with_capacity(watches.len());
         let routes = node.board.routes.share();
         let services = routes.services.values();
-        for candidate in services.flat_map(|s| s.candidates.iter().chain(&s.others)) {
+        for candidate in services.flat_map(|service| service.all()) {
             let Some(link) = candidate.slot.get() else {
                 continue;
             };
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -157,8 +157,7 @@
 }
 
 fn all(routes: &Routes) -> impl Iterator<Item = &Arc<Candidate>> {
-    let services = routes.services.values();
-    services.flat_map(|service| service.candidates.iter().chain(&service.others))
+    routes.services.values().flat_map(|service| service.all())
 }
 
 async fn retire(node: Arc<Node>, candidate: Arc<Candidate>) {
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -10,6 +10,7 @@
 use smol::Task;
 
 use crate::board::Board;
+use crate::board::Candidate;
 use crate::board::Phase;
 use crate::board::ServiceRoutes;
 use crate::clock::Clock;
@@ -165,10 +166,15 @@
     /// Make the links of a service, if they are not made yet.
     pub fn want_links(self: &Arc<Self>, routes: &ServiceRoutes) {
         for candidate in &routes.candidates {
-            if candidate.slot.claim() {
-                let keeping = keep_link(Arc::clone(self), Arc::clone(candidate));
-                self.spawn(keeping);
-            }
+            self.want_link(candidate);
+        }
+    }
+
+    /// Make the link of one upstream, if it is not made yet.
+    pub fn want_link(self: &Arc<Self>, candidate: &Arc<Candidate>) {
+        if candidate.slot.claim() {
+            let keeping = keep_link(Arc::clone(self), Arc::clone(candidate));
+            self.spawn(keeping);
         }
     }
 }
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -16,7 +16,6 @@
 use crate::entry::call::Outcome;
 use crate::entry::hedge::hedged;
 use crate::entry::pick::pick;
-use crate::link::keep_link;
 use crate::metrics::Counted;
 use mustardtiller_config::Kind;
 use mustardtiller_config::TokenRule;
@@ -241,10 +240,7 @@
     cx: AttemptCx<'_>,
     candidate: &Arc<Candidate>,
 ) -> Option<Arc<crate::link::LinkHandle>> {
-    if candidate.slot.claim() {
-        let keeping = keep_link(Arc::clone(cx.node), Arc::clone(candidate));
-        cx.node.spawn(keeping);
-    }
+    cx.node.want_link(candidate);
     let limit = Deadline::in_millis(cx.node.clock.now(), LINK_WAIT_MS).min(cx.deadline);
     candidate.slot.wait(&cx.node.clock, limit).await
 }
