--- a/crates/mustardtiller-config/src/artefact/build.rs
+++ b/crates/mustardtiller-config/src/artefact/build.rs
@@ -8,10 +8,12 @@
 use super::parts::FORMAT;
 use super::parts::FleetPart;
 use super::parts::KindEntry;
+use super::parts::LimitsEntry;
 use super::parts::Manifest;
 use super::parts::ManifestService;
 use super::parts::PathEntry;
 use super::parts::PlaceEntry;
+use super::parts::RouteEntry;
 use super::parts::ServicePart;
 use super::parts::TokenEntry;
 use super::parts::UpstreamEntry;
@@ -99,10 +101,28 @@
         name: caller.name.to_string(),
         share: caller.share,
     });
+    let routes = fleet.routes.iter().map(|route| RouteEntry {
+        name: route.name.to_string(),
+        host: route.host.to_string(),
+        parts: route
+            .parts
+            .iter()
+            .map(|part| (part.service.to_string(), part.weight))
+            .collect(),
+        kind: kind_entry(&route.kind),
+    });
+    let limits = fleet.limits.map(|limits| LimitsEntry {
+        head_bytes: limits.head_bytes,
+        body_bytes: limits.body_bytes,
+        head_ms: limits.head_ms,
+        idle_ms: limits.idle_ms,
+    });
     FleetPart {
         places: places.collect(),
         paths: paths.collect(),
         callers: callers.collect(),
+        routes: routes.collect(),
+        limits,
     }
 }
 
@@ -115,6 +135,8 @@
         retry_percent: service.retry_percent,
         subset: service.subset,
         eject_percent: service.eject_percent,
+        discovered: service.discovered,
+        health_path: service.health_path.to_string(),
         kinds: service.kinds.iter().map(|kind| kind_entry(kind)).collect(),
         upstreams: service
             .upstreams
@@ -133,6 +155,8 @@
         upload: kind.upload,
         urgent: kind.urgent,
         deadline_ms: kind.deadline_ms,
+        target_ms: kind.target_ms,
+        priority: kind.priority,
         attempts: kind.attempts,
         hedge_percent: kind.hedge_percent,
         weigh_cost: kind.weigh == Weigh::Cost,
--- a/crates/mustardtiller-config/src/artefact/parts.rs
+++ b/crates/mustardtiller-config/src/artefact/parts.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// The format that this program writes and reads.
-pub const FORMAT: u16 = 1;
+pub const FORMAT: u16 = 2;
 
 /// The list of the parts of one revision.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,6 +44,38 @@
     pub paths: Vec<PathEntry>,
     /// Callers and their shares.
     pub callers: Vec<CallerEntry>,
+    /// Routes.
+    pub routes: Vec<RouteEntry>,
+    /// What callers may send.
+    pub limits: Option<LimitsEntry>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct LimitsEntry {
+    /// Largest head, in bytes.
+    pub head_bytes: u64,
+    /// Largest body, in bytes.
+    pub body_bytes: u64,
+    /// Time for a head, in milliseconds.
+    pub head_ms: u64,
+    /// Time for which a connection may be idle, in milliseconds.
+    pub idle_ms: u64,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RouteEntry {
+    /// Its name.
+    pub name: String,
+    /// The HTTP host.
+    pub host: String,
+    /// Services and their weights.
+    pub parts: Vec<(String, u32)>,
+    /// How its requests are handled.
+    pub kind: KindEntry,
 }
 
 /// A place.
@@ -100,6 +132,10 @@
     pub subset: u32,
     /// Share of upstreams that may rest at once, in percent.
     pub eject_percent: u32,
+    /// Its upstreams register themselves.
+    pub discovered: bool,
+    /// Where its upstreams answer for their health.
+    pub health_path: String,
     /// The kinds of request.
     pub kinds: Vec<KindEntry>,
     /// The upstreams.
@@ -137,6 +173,10 @@
     pub urgent: bool,
     /// Time for a request, in milliseconds.
     pub deadline_ms: u64,
+    /// Time for the full worth of an answer, in milliseconds.
+    pub target_ms: u64,
+    /// Rank; zero goes first.
+    pub priority: u8,
     /// Attempts, the first included.
     pub attempts: u32,
     /// Share that may be hedged, in percent.
--- a/crates/mustardtiller-config/src/artefact/read.rs
+++ b/crates/mustardtiller-config/src/artefact/read.rs
@@ -11,16 +11,20 @@
 use super::parts::FleetPart;
 use super::parts::KindEntry;
 use super::parts::Manifest;
+use super::parts::RouteEntry;
 use super::parts::ServicePart;
 use super::parts::TokenEntry;
 use super::parts::UpstreamEntry;
 use crate::ArtefactError;
 use crate::ArtefactErrorKind;
 use crate::Caller;
+use crate::CallerLimits;
 use crate::Fleet;
 use crate::Kind;
 use crate::Path;
 use crate::Place;
+use crate::Route;
+use crate::RoutePart;
 use crate::Service;
 use crate::TokenRule;
 use crate::Upstream;
@@ -150,6 +154,7 @@
             }
             services.push(service);
         }
+        check_routes(fleet, &services)?;
         Ok(services)
     }
 }
@@ -179,8 +184,24 @@
     }
 }
 
+fn check_routes(fleet: &Fleet, services: &[Service]) -> Result<(), ArtefactError> {
+    let known: HashSet<&ServiceName> = services.iter().map(|service| &service.name).collect();
+    for route in &fleet.routes {
+        let weight: u64 = route.parts.iter().map(|part| u64::from(part.weight)).sum();
+        if weight == 0 {
+            return Err(inconsistent(format!("route {} leads nowhere", route.name)));
+        }
+        if let Some(part) = route.parts.iter().find(|p| !known.contains(&p.service)) {
+            let context = format!("route {} leads to unknown {}", route.name, part.service);
+            return Err(inconsistent(context));
+        }
+    }
+    Ok(())
+}
+
 fn check_service(service: &Service, places: &HashSet<&PlaceName>) -> Result<(), ArtefactError> {
-    if service.upstreams.is_empty() || service.kinds.is_empty() {
+    let fixed = !service.discovered;
+    if fixed && (service.upstreams.is_empty() || service.kinds.is_empty()) {
         return Err(inconsistent(format!("service {} is empty", service.name)));
     }
     match service
@@ -212,11 +233,33 @@
         name: caller.name.as_str().into(),
         share: caller.share,
     });
+    let limits = part.limits.map(|limits| CallerLimits {
+        head_bytes: limits.head_bytes,
+        body_bytes: limits.body_bytes,
+        head_ms: limits.head_ms,
+        idle_ms: limits.idle_ms,
+    });
+    let routes = part.routes.iter().map(|entry| Arc::new(route_from(entry)));
     Fleet {
         revision,
         places: places.collect(),
         paths: paths.collect(),
         callers: callers.collect(),
+        routes: routes.collect(),
+        limits,
+    }
+}
+
+fn route_from(entry: &RouteEntry) -> Route {
+    let parts = entry.parts.iter().map(|(service, weight)| RoutePart {
+        service: service.as_str().into(),
+        weight: *weight,
+    });
+    Route {
+        name: entry.name.as_str().into(),
+        host: Arc::from(entry.host.as_str()),
+        parts: parts.collect(),
+        kind: Arc::new(kind_from(&entry.kind)),
     }
 }
 
@@ -233,6 +276,8 @@
         retry_percent: part.retry_percent,
         subset: part.subset,
         eject_percent: part.eject_percent,
+        discovered: part.discovered,
+        health_path: Arc::from(part.health_path.as_str()),
         kinds: part
             .kinds
             .iter()
@@ -259,6 +304,8 @@
         upload: entry.upload,
         urgent: entry.urgent,
         deadline_ms: entry.deadline_ms,
+        target_ms: entry.target_ms,
+        priority: entry.priority,
         attempts: entry.attempts,
         hedge_percent: entry.hedge_percent,
         weigh: weigh_from(entry.weigh_cost),
--- a/crates/mustardtiller-config/src/objects/check.rs
+++ b/crates/mustardtiller-config/src/objects/check.rs
@@ -74,6 +74,7 @@
     let set = read_set(&sections, &mut faults);
     check_hosts(&sections, &set, &mut faults);
     check_kinds(&sections, &set, &mut faults);
+    check_routes(&sections, &set, &mut faults);
     if faults.is_empty() {
         return Ok(set);
     }
@@ -164,6 +165,8 @@
         places: Vec::new(),
         paths: Vec::new(),
         callers: Vec::new(),
+        routes: Vec::new(),
+        limits: None,
     };
     let mut services: Vec<Service> = Vec::new();
     let mut kinds: HashMap<String, Vec<Arc<Kind>>> = HashMap::new();
@@ -176,6 +179,9 @@
             "path" => fleet.paths.extend(parse::path(section, faults)),
             "caller" => fleet.callers.push(parse::caller(section, faults)),
             "service" => services.push(parse::service(section, faults)),
+            "route" => fleet
+                .routes
+                .extend(parse::route(section, faults).map(Arc::new)),
             "kind" => {
                 if let Some(kind) = parse::kind(section, faults) {
                     if kind.own_weigh {
@@ -255,6 +261,31 @@
     }
 }
 
+/// Report routes that lead to no service or take the same requests.
+fn check_routes(sections: &[Section], set: &ObjectSet, faults: &mut Vec<Fault>) {
+    let known: Vec<&str> = set.services.iter().map(|s| s.name.as_str()).collect();
+    for (index, route) in set.fleet.routes.iter().enumerate() {
+        let Some(section) = find(sections, "route", route.name.as_str()) else {
+            continue;
+        };
+        for part in &route.parts {
+            let name = part.service.as_str();
+            if !known.contains(&name) {
+                let wrong = format!("there is no service `{name}`");
+                let right = suggestion(name, &known);
+                faults.push(section.fault(section.line_of("services"), wrong, right));
+            }
+        }
+        let clash = set.fleet.routes[..index]
+            .iter()
+            .find(|other| other.host == route.host && other.kind.path == route.kind.path);
+        if let Some(other) = clash {
+            let wrong = format!("it takes the same requests as [route {}]", other.name);
+            faults.push(section.fault(section.line, wrong, "give them other hosts or paths"));
+        }
+    }
+}
+
 fn find<'a>(sections: &'a [Section], kind: &str, name: &str) -> Option<&'a Section> {
     sections.iter().find(|s| s.kind == kind && s.name == name)
 }
--- a/crates/mustardtiller-config/src/objects/parse.rs
+++ b/crates/mustardtiller-config/src/objects/parse.rs
@@ -2,12 +2,16 @@
 
 use std::sync::Arc;
 
+use smallvec::SmallVec;
+
 use crate::Caller;
 use crate::Fault;
 use crate::Fields;
 use crate::Kind;
 use crate::Path;
 use crate::Place;
+use crate::Route;
+use crate::RoutePart;
 use crate::Section;
 use crate::Service;
 use crate::TokenRule;
@@ -30,6 +34,9 @@
 /// Longest deadline of a kind, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 
+/// Rank of a kind that names none.
+const LAST_PRIORITY: u64 = 9;
+
 /// Longest one-way delay or price of a path, in microseconds.
 const MAX_PATH_MICROS: u64 = 10_000_000;
 
@@ -105,6 +112,8 @@
         retry_percent: fields.number_or("retry_percent", 10, 0..=100) as u32,
         subset: fields.number_or("subset", 20, 1..=1_000) as u32,
         eject_percent: fields.number_or("eject_percent", 34, 0..=90) as u32,
+        discovered: fields.flag_or("discovered", false),
+        health_path: Arc::from(fields.text_opt("health_path").unwrap_or("/health")),
         kinds: Vec::new(),
         upstreams: Vec::new(),
     };
@@ -115,7 +124,67 @@
 pub fn kind(section: &Section, faults: &mut Vec<Fault>) -> Option<Owned<Kind>> {
     let mut fields = Fields::new(section, faults);
     let service = fields.name("service", "service");
-    let methods = methods(&mut fields);
+    let read = handling(section, &mut fields);
+    fields.finish();
+    let (object, own_weigh) = read?;
+    Some(Owned {
+        service: service?,
+        own_weigh,
+        object,
+    })
+}
+
+pub fn route(section: &Section, faults: &mut Vec<Fault>) -> Option<Route> {
+    let mut fields = Fields::new(section, faults);
+    let host = fields.text("host", "give the HTTP host that it takes");
+    let parts = parts(&mut fields);
+    let read = handling(section, &mut fields);
+    fields.finish();
+    let (mut kind, _) = read?;
+    // A route takes every method unless it names some.
+    if !section.entries.iter().any(|entry| entry.key == "methods") {
+        kind.methods.clear();
+    }
+    Some(Route {
+        name: section.name.as_str().into(),
+        host: Arc::from(host?.to_ascii_lowercase()),
+        parts,
+        kind: Arc::new(kind),
+    })
+}
+
+/// Read `SERVICE` or `SERVICE:WEIGHT` words.
+fn parts(fields: &mut Fields<'_>) -> SmallVec<[RoutePart; 2]> {
+    let words = fields.words("services");
+    if words.is_empty() {
+        fields.add_at(
+            "services",
+            "the route leads to no service",
+            "give one or more, such as `services = katalog:90 archive:10`",
+        );
+    }
+    let mut parts = SmallVec::new();
+    for word in &words {
+        let (name, weight) = word.split_once(':').unwrap_or((word, "1"));
+        match weight.parse::<u32>() {
+            Ok(weight) if weight > 0 => parts.push(RoutePart {
+                service: name.into(),
+                weight,
+            }),
+            _ => fields.add_at(
+                "services",
+                format!("`{weight}` is no weight"),
+                "give a whole number above zero",
+            ),
+        }
+    }
+    parts
+}
+
+/// Read how requests of a kind or a route are handled, and whether it says
+/// itself what is weighed more.
+fn handling(section: &Section, fields: &mut Fields<'_>) -> Option<(Kind, bool)> {
+    let methods = methods(fields);
     let path = fields.text_opt("path").unwrap_or("/");
     if !path.starts_with('/') {
         fields.add_at("path", format!("`{path}` is no path"), "start it with `/`");
@@ -124,6 +193,9 @@
     let upload = fields.flag_or("upload", false);
     let urgent = fields.flag_or("urgent", false);
     let deadline_ms = fields.number("deadline_ms", 1..=MAX_DEADLINE_MS);
+    let own_target = deadline_ms.unwrap_or(MAX_DEADLINE_MS);
+    let target_ms = fields.number_or("target_ms", own_target, 1..=MAX_DEADLINE_MS);
+    let priority = fields.number_or("priority", LAST_PRIORITY, 0..=LAST_PRIORITY) as u8;
     let attempts = fields.number_or("attempts", 2, 1..=5) as u32;
     let hedge_percent = fields.number_or("hedge_percent", 0, 0..=50) as u32;
     let own_weigh = fields.text_opt("weigh").is_some();
@@ -140,8 +212,7 @@
     if upload && token != TokenRule::Ignored {
         fields.add_at("token", "an upload takes no token", "set `token = ignored`");
     }
-    fields.finish();
-    let object = Kind {
+    let kind = Kind {
         name: section.name.as_str().into(),
         methods,
         path: Arc::from(path),
@@ -149,16 +220,14 @@
         upload,
         urgent,
         deadline_ms: deadline_ms?,
+        target_ms,
+        priority,
         attempts,
         hedge_percent,
         weigh,
         token,
     };
-    Some(Owned {
-        service: service?,
-        own_weigh,
-        object,
-    })
+    Some((kind, own_weigh))
 }
 
 fn methods(fields: &mut Fields<'_>) -> Vec<Arc<str>> {
--- a/crates/mustardtiller-config/src/objects/refer.rs
+++ b/crates/mustardtiller-config/src/objects/refer.rs
@@ -8,7 +8,7 @@
 
 /// Kinds of object, in the order in which faults advise them.
 pub const KINDS: &[&str] = &[
-    "fleet", "place", "path", "caller", "service", "kind", "upstream",
+    "fleet", "place", "path", "caller", "service", "route", "kind", "upstream",
 ];
 
 /// Report a reference to an object that does not exist.
@@ -58,7 +58,12 @@
 
 /// Report services that no object of `kind` refers to.
 pub fn inhabited(sections: &[Section], kind: &str, faults: &mut Vec<Fault>) {
-    for service in sections.iter().filter(|section| section.kind == "service") {
+    let discovered = |service: &Section| {
+        let mut entries = service.entries.iter();
+        entries.any(|entry| entry.key == "discovered" && entry.value == "yes")
+    };
+    let services = sections.iter().filter(|section| section.kind == "service");
+    for service in services.filter(|service| !discovered(service)) {
         let refers = |section: &&Section| {
             let mut entries = section.entries.iter();
             section.kind == kind && entries.any(|e| e.key == "service" && e.value == service.name)
--- a/crates/mustardtiller-config/src/objects/set.rs
+++ b/crates/mustardtiller-config/src/objects/set.rs
@@ -18,6 +18,16 @@
 }
 
 impl ObjectSet {
+    /// Join objects that were described in another form than INI.
+    #[must_use]
+    pub const fn from_parts(fleet: Fleet, services: Vec<Service>) -> Self {
+        Self {
+            fleet,
+            services,
+            written: BTreeMap::new(),
+        }
+    }
+
     pub(crate) fn written_form(sections: &[Section]) -> BTreeMap<String, BTreeMap<String, String>> {
         sections
             .iter()
--- /dev/null
+++ b/crates/mustardtiller-core/src/discover/mod.rs
@@ -0,0 +1,12 @@
+//! Upstreams that come and go: what is known of them, and who reads for whom.
+
+mod registry;
+mod turn;
+
+pub use registry::Registration;
+pub use registry::RegistrationState;
+pub use registry::Registry;
+pub use registry::RegistryDelta;
+pub use turn::ReadOutcome;
+pub use turn::ReadTurn;
+pub use turn::TurnRule;
--- /dev/null
+++ b/crates/mustardtiller-core/src/discover/registry.rs
@@ -0,0 +1,157 @@
+//! The upstreams that are registered, as of one read.
+
+use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::Instant;
+use crate::PlaceName;
+use crate::ServiceName;
+use crate::UpstreamName;
+
+/// Whether a registered upstream takes new work.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum RegistrationState {
+    /// It serves.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+/// One registered upstream.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Registration {
+    /// Its name, new with most incarnations.
+    pub name: UpstreamName,
+    /// Its service.
+    pub service: ServiceName,
+    /// The place it stands in.
+    pub place: PlaceName,
+    /// Where it takes HTTP, on its own host.
+    pub address: SocketAddr,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: RegistrationState,
+    /// Unix time of its start, in milliseconds; tells incarnations of one name apart.
+    pub born_ms: u64,
+    /// Whether it is still slow after its start.
+    pub cold: bool,
+}
+
+/// What changed between two registries.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RegistryDelta {
+    /// Entries that are new or different.
+    pub changed: Vec<Arc<Registration>>,
+    /// Names that are gone.
+    pub removed: Vec<UpstreamName>,
+}
+
+/// Every registered upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    entries: BTreeMap<UpstreamName, Arc<Registration>>,
+    /// When the platform was read for it, in this process's time.
+    pub read_at: Instant,
+}
+
+impl Registry {
+    /// Build a registry from entries that were read at `read_at`.
+    #[must_use]
+    pub fn new(entries: impl IntoIterator<Item = Registration>, read_at: Instant) -> Self {
+        let entries = entries
+            .into_iter()
+            .map(|entry| (entry.name.clone(), Arc::new(entry)))
+            .collect();
+        Self { entries, read_at }
+    }
+
+    /// Return every entry, by name.
+    pub fn entries(&self) -> impl Iterator<Item = &Arc<Registration>> {
+        self.entries.values()
+    }
+
+    /// Find an entry by name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Arc<Registration>> {
+        self.entries.get(name)
+    }
+
+    /// Return the number of entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Report whether there is no entry.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Return the newest incarnation that is registered at an address.
+    #[must_use]
+    pub fn at_address(&self, address: SocketAddr) -> Option<&Arc<Registration>> {
+        self.entries()
+            .filter(|entry| entry.address == address)
+            .max_by_key(|entry| entry.born_ms)
+    }
+
+    /// Return a digest of the entries, the same in every process.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for entry in self.entries() {
+            entry.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// Return what leads from `older` to this registry.
+    #[must_use]
+    pub fn delta_from(&self, older: &Self) -> RegistryDelta {
+        let changed = self
+            .entries()
+            .filter(|entry| older.get(entry.name.as_str()) != Some(entry))
+            .cloned()
+            .collect();
+        let removed = older
+            .entries
+            .keys()
+            .filter(|name| !self.entries.contains_key(*name))
+            .cloned()
+            .collect();
+        RegistryDelta { changed, removed }
+    }
+
+    /// Return this registry with a delta applied, as read at `read_at`.
+    #[must_use]
+    pub fn with(&self, delta: &RegistryDelta, read_at: Instant) -> Self {
+        let mut entries = self.entries.clone();
+        for name in &delta.removed {
+            entries.remove(name);
+        }
+        for entry in &delta.changed {
+            entries.insert(entry.name.clone(), Arc::clone(entry));
+        }
+        Self { entries, read_at }
+    }
+
+    /// Keep the entries of `older` that this read lacks.
+    ///
+    /// After a gap in reading, entries may have lapsed while the platform was
+    /// away although their upstreams live; they register again soon.
+    #[must_use]
+    pub fn keeping(mut self, older: &Self) -> Self {
+        for (name, entry) in &older.entries {
+            self.entries
+                .entry(name.clone())
+                .or_insert_with(|| Arc::clone(entry));
+        }
+        self
+    }
+}
--- a/crates/mustardtiller-core/src/lib.rs
+++ b/crates/mustardtiller-core/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod admit;
+mod discover;
 mod fence;
 mod measure;
 mod names;
@@ -28,6 +29,7 @@
 mod time;
 
 pub use admit::*;
+pub use discover::*;
 pub use fence::*;
 pub use measure::*;
 pub use names::*;
--- a/crates/mustardtiller-core/src/names/name.rs
+++ b/crates/mustardtiller-core/src/names/name.rs
@@ -64,6 +64,10 @@
     /// The name of a place: one data centre or zone.
     PlaceName
 );
+name_type!(
+    /// The name of a route from a host and path to services.
+    RouteName
+);
 name_type!(
     /// The name of a service: a set of interchangeable upstreams.
     ServiceName
--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -80,6 +80,12 @@
         NoConfiguration = 17 "no-configuration",
         /// The kind of request needs a token and there is none.
         TokenNeeded = 18 "token-needed",
+        /// The upstream itself said that it did not run the request.
+        UpstreamShed = 19 "upstream-shed",
+        /// The request can't be answered in time any more.
+        TooLate = 20 "too-late",
+        /// The body exceeds the limit in force.
+        BodyTooLarge = 21 "body-too-large",
     }
 );
 
@@ -112,5 +118,7 @@
         BadAnswer = 12 "bad-answer",
         /// The token was used before for another request.
         TokenReused = 13 "token-reused",
+        /// The upstream went silent with the request on it.
+        UpstreamSilent = 14 "upstream-silent",
     }
 );
--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -87,7 +87,10 @@
     match reason {
         NotRunReason::Unreachable | NotRunReason::WrongUpstream => Some(RetryReason::Unreachable),
         NotRunReason::Leaving => Some(RetryReason::Leaving),
-        NotRunReason::LinkFull | NotRunReason::QueueFull => Some(RetryReason::Busy),
+        NotRunReason::LinkFull
+        | NotRunReason::QueueFull
+        | NotRunReason::TooLate
+        | NotRunReason::UpstreamShed => Some(RetryReason::Busy),
         NotRunReason::UpstreamDown => Some(RetryReason::UpstreamDown),
         NotRunReason::NoService
         | NotRunReason::NoKind
@@ -100,6 +103,7 @@
         | NotRunReason::BadRequest
         | NotRunReason::BodyCut
         | NotRunReason::NoConfiguration
+        | NotRunReason::BodyTooLarge
         | NotRunReason::TokenNeeded => None,
     }
 }
--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod health;
 mod sample;
+mod split;
 mod subset;
 
 pub use choice::Choice;
@@ -14,4 +15,5 @@
 pub use health::may_eject;
 pub use sample::Sample;
 pub use sample::Standing;
+pub use split::Splitter;
 pub use subset::subset;
--- a/crates/mustardtiller-core/src/time/instant.rs
+++ b/crates/mustardtiller-core/src/time/instant.rs
@@ -75,6 +75,12 @@
         Duration::from_micros(self.0.micros_since(now))
     }
 
+    /// Return the later of two deadlines.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self(self.0.max(other.0))
+    }
+
     /// Return the earlier of two deadlines.
     #[must_use]
     pub fn min(self, other: Self) -> Self {
--- a/crates/mustardtiller-standin/src/lab/fleet.rs
+++ b/crates/mustardtiller-standin/src/lab/fleet.rs
@@ -261,6 +261,7 @@
             in_flight,
             limit: self.scenario.slots,
             ramp_milli: 1_000,
+            work_percent: 100,
             leaving: false,
         };
         signals.heard(load, at);
--- a/crates/mustardtiller-wire/src/frame/head.rs
+++ b/crates/mustardtiller-wire/src/frame/head.rs
@@ -86,6 +86,10 @@
     pub caller: String,
     /// Whether it goes before ordinary requests.
     pub urgent: bool,
+    /// Rank among kinds of request; zero goes first.
+    pub priority: u8,
+    /// It may run more than once.
+    pub idempotent: bool,
     /// The HTTP method.
     pub method: String,
     /// The path and query.
@@ -94,6 +98,8 @@
     pub headers: Vec<Header>,
     /// When it stops being wanted, in microseconds of the receiver's time.
     pub deadline_micros: u64,
+    /// Until when an answer has its full worth, in microseconds of the receiver's time.
+    pub target_micros: u64,
     /// The token, if the request carries one.
     pub token: Option<TokenForm>,
     /// How deep in a tree of calls it is.
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -11,7 +11,7 @@
 use mustardtiller_core::Verdict;
 
 /// The version of the link protocol that this program speaks.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// The first frame of the side that opened the link.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -51,6 +51,8 @@
     pub limit: u32,
     /// Share of its full load that it may be given, in thousandths.
     pub ramp_milli: u16,
+    /// Time that work takes there at this moment, in percent of the usual.
+    pub work_percent: u16,
     /// It takes no new work.
     pub leaving: bool,
 }
@@ -197,6 +199,11 @@
         /// The digest of the value: a manifest or a part.
         digest: [u8; 16],
     },
+    /// Asks for the registered upstreams; answered by a `Value`.
+    FetchRegistry {
+        /// The stream.
+        stream: u32,
+    },
     /// Answers a `Fetch`.
     Value {
         /// The stream.
--- a/crates/mustardtiller-wire/src/gossip/datagram.rs
+++ b/crates/mustardtiller-wire/src/gossip/datagram.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::registration::RegistrationForm;
+
 /// The version of a configuration that a daemon holds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -13,6 +15,22 @@
     pub digest: [u8; 16],
 }
 
+/// What the sender knows of the registered upstreams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RegistryNews {
+    /// Milliseconds since the platform was read for it.
+    pub age_ms: u32,
+    /// The digest of the sender's registry before the change.
+    pub before: u64,
+    /// The digest of the sender's registry.
+    pub digest: u64,
+    /// Entries that are new or different since `before`.
+    pub changed: Vec<RegistrationForm>,
+    /// Names that are gone since `before`.
+    pub removed: Vec<String>,
+}
+
 /// A message in one datagram.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -27,4 +45,11 @@
         /// What it holds.
         advert: Advert,
     },
+    /// What the sender knows of the registered upstreams.
+    Registry {
+        /// The news.
+        news: RegistryNews,
+    },
+    /// The sender asks for the receiver's registry.
+    AskRegistry,
 }
--- a/crates/mustardtiller-wire/src/gossip/mod.rs
+++ b/crates/mustardtiller-wire/src/gossip/mod.rs
@@ -1,6 +1,10 @@
-//! What daemons tell one another about configurations.
+//! What daemons tell one another in datagrams.
 
 mod datagram;
+mod registration;
 
 pub use datagram::Advert;
 pub use datagram::Datagram;
+pub use datagram::RegistryNews;
+pub use registration::RegistrationForm;
+pub use registration::RegistryForm;
--- a/crates/mustardtiller-wire/src/lib.rs
+++ b/crates/mustardtiller-wire/src/lib.rs
@@ -43,3 +43,6 @@
 pub use frame::Welcome;
 pub use gossip::Advert;
 pub use gossip::Datagram;
+pub use gossip::RegistrationForm;
+pub use gossip::RegistryForm;
+pub use gossip::RegistryNews;
--- a/crates/mustardtiller-wire/tests/frame_codec.rs
+++ b/crates/mustardtiller-wire/tests/frame_codec.rs
@@ -27,6 +27,8 @@
             upstream: "u".to_owned(),
             caller: "c".to_owned(),
             urgent: false,
+            priority: 1,
+            idempotent: true,
             method: "GET".to_owned(),
             uri,
             headers: vec![Header {
@@ -34,6 +36,7 @@
                 value: Bytes::from(value),
             }],
             deadline_micros: 9,
+            target_micros: 8,
             token: None,
             depth: 1,
             retried: false,
--- a/crates/mustardtiller/benches/request_path.rs
+++ b/crates/mustardtiller/benches/request_path.rs
@@ -29,6 +29,7 @@
                 in_flight: index as u32 % 9,
                 limit: 12,
                 ramp_milli: 1_000,
+                work_percent: 100,
                 leaving: false,
             };
             one.heard(load, Instant::from_micros(100));
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -10,15 +10,17 @@
 use crate::board::Snapshot;
 use mustardtiller_config::Artefact;
 use mustardtiller_config::Configuration;
+use mustardtiller_config::Upstream;
 use mustardtiller_core::HostList;
 use mustardtiller_core::Incarnation;
 use mustardtiller_core::PlaceName;
+use mustardtiller_core::Registry;
 use mustardtiller_core::UpstreamName;
 
 /// Who this process is. Never changes.
 #[derive(Clone, Debug)]
 pub struct Identity {
-    /// The upstream beside this daemon.
+    /// The name of this daemon; that of its upstream where operators name them.
     pub upstream: UpstreamName,
     /// The place it stands in.
     pub place: PlaceName,
@@ -37,12 +39,19 @@
     pub artefact: Snapshot<Option<Arc<Artefact>>>,
     /// The host list. Written by the hosts controller.
     pub hosts: Snapshot<HostList>,
+    /// The upstreams that registered themselves. Written by the registry controller.
+    pub registry: Snapshot<Registry>,
+    /// The upstream beside this daemon. Written by the routes controller where
+    /// operators name upstreams, else by the local controller.
+    pub local: Snapshot<Option<Arc<Upstream>>>,
     /// Where requests can go. Written by the routes controller.
     pub routes: Snapshot<Routes>,
     /// The gate's state. Its fields name their writers.
     pub gate: GateState,
     /// The phase of the process. Written by the stop controller.
     pub phase: PhaseCell,
+    /// Notified when the upstream beside this daemon seems to be another or gone.
+    pub local_doubt: Event,
     /// Notified when an upstream's error rate is high. Read by the health controller.
     pub unhealthy: Event,
 }
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -11,6 +11,9 @@
 use mustardtiller_core::LimiterWindow;
 use mustardtiller_wire::LoadReport;
 
+/// Work that takes as long as usual, in percent.
+const USUAL_WORK_PERCENT: u32 = 100;
+
 /// The gate's state.
 ///
 /// `limit` is written by the limiter controller, the leaving flags by the
@@ -30,6 +33,8 @@
     completed: AtomicU64,
     total_micros: AtomicU64,
     shed: AtomicU64,
+    down: AtomicBool,
+    work_percent: AtomicU32,
     peak_in_flight: AtomicU32,
 }
 
@@ -49,6 +54,8 @@
             completed: AtomicU64::new(0),
             total_micros: AtomicU64::new(0),
             shed: AtomicU64::new(0),
+            down: AtomicBool::new(false),
+            work_percent: AtomicU32::new(USUAL_WORK_PERCENT),
             peak_in_flight: AtomicU32::new(0),
         }
     }
@@ -121,6 +128,23 @@
         self.leaving.load(Ordering::SeqCst) || self.listed_leaving.load(Ordering::SeqCst)
     }
 
+    /// Record whether the upstream can't be reached. Returns the old value.
+    pub fn set_down(&self, down: bool) -> bool {
+        self.down.swap(down, Ordering::SeqCst)
+    }
+
+    /// Report whether the upstream can't be reached.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.down.load(Ordering::SeqCst)
+    }
+
+    /// Record how long work takes at the upstream at this moment.
+    pub fn set_work_percent(&self, percent: u16) {
+        self.work_percent
+            .store(u32::from(percent), Ordering::Relaxed);
+    }
+
     /// Start the ramp of a cold upstream.
     pub fn warm_up(&self, from: Instant, at: Instant) {
         self.warm_from.store(from.as_micros(), Ordering::Relaxed);
@@ -152,7 +176,8 @@
             in_flight: self.in_flight() + self.waiting(),
             limit: self.limit(),
             ramp_milli: self.ramp_milli(now),
-            leaving: closing || self.is_leaving(),
+            work_percent: self.work_percent.load(Ordering::Relaxed) as u16,
+            leaving: closing || self.is_leaving() || self.is_down(),
         }
     }
 
--- a/crates/mustardtiller/src/board/mod.rs
+++ b/crates/mustardtiller/src/board/mod.rs
@@ -20,6 +20,7 @@
 pub use gate::GateState;
 pub use phase::Phase;
 pub use phase::PhaseCell;
+pub use routes::ActiveRoute;
 pub use routes::Routes;
 pub use routes::ServiceRoutes;
 pub use signals::Signals;
--- a/crates/mustardtiller/src/board/routes.rs
+++ b/crates/mustardtiller/src/board/routes.rs
@@ -3,12 +3,17 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use smallvec::SmallVec;
+
 use crate::board::Candidate;
 use mustardtiller_config::Kind;
+use mustardtiller_config::Route;
 use mustardtiller_config::Service;
 use mustardtiller_core::EjectionRule;
+use mustardtiller_core::NotRunReason;
 use mustardtiller_core::RetryBudget;
 use mustardtiller_core::ServiceName;
+use mustardtiller_core::Splitter;
 use mustardtiller_core::UpstreamName;
 
 /// One service with the upstreams that this entry may choose.
@@ -55,11 +60,97 @@
     }
 }
 
-/// Every service. Written by the routes controller.
+/// A route in force.
+#[derive(Debug)]
+pub struct ActiveRoute {
+    /// The route's object.
+    pub route: Arc<Route>,
+    /// Deals its requests to its parts; outlives snapshots.
+    pub splitter: Arc<Splitter>,
+}
+
+impl ActiveRoute {
+    fn next_part(&self) -> &ServiceName {
+        let parts = &self.route.parts;
+        if let [only] = parts.as_slice() {
+            return &only.service;
+        }
+        let weights: SmallVec<[u32; 4]> = parts.iter().map(|part| part.weight).collect();
+        &parts[self.splitter.next(&weights)].service
+    }
+}
+
+/// Every service and route. Written by the routes controller.
 #[derive(Debug, Default)]
 pub struct Routes {
     /// The services by name.
     pub services: HashMap<ServiceName, Arc<ServiceRoutes>>,
     /// The services by HTTP host.
     pub hosts: HashMap<Arc<str>, Arc<ServiceRoutes>>,
+    /// The routes by HTTP host and start of the path.
+    pub routes: HashMap<Arc<str>, HashMap<Arc<str>, ActiveRoute>>,
+}
+
+impl Routes {
+    /// Find where a request goes, and how it is handled.
+    ///
+    /// Each call deals one request to a part of its route.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it goes nowhere.
+    pub fn find(
+        &self,
+        host: &str,
+        method: &str,
+        path: &str,
+    ) -> Result<(Arc<ServiceRoutes>, Arc<Kind>), NotRunReason> {
+        if let Some(active) = self.route_of(host, method, path) {
+            let service = self.services.get(active.next_part());
+            let service = service.ok_or(NotRunReason::NoService)?;
+            return Ok((Arc::clone(service), Arc::clone(&active.route.kind)));
+        }
+        let Some(service) = self.hosts.get(host) else {
+            let routed = !self.routes.is_empty();
+            return Err(if routed {
+                NotRunReason::NoKind
+            } else {
+                NotRunReason::NoService
+            });
+        };
+        let kind = service.kind_of(method, path).ok_or(NotRunReason::NoKind)?;
+        Ok((Arc::clone(service), Arc::clone(kind)))
+    }
+
+    /// Find how a request is handled, without dealing it to a service.
+    #[must_use]
+    pub fn kind_of(&self, host: &str, method: &str, path: &str) -> Option<Arc<Kind>> {
+        if let Some(active) = self.route_of(host, method, path) {
+            return Some(Arc::clone(&active.route.kind));
+        }
+        self.hosts.get(host)?.kind_of(method, path).cloned()
+    }
+
+    /// Find the route of the longest prefix.
+    ///
+    /// One look-up for each segment of the path, however many routes there are.
+    fn route_of(&self, host: &str, method: &str, path: &str) -> Option<&ActiveRoute> {
+        let routes = self.routes.get(host)?;
+        let taken = |prefix: &str| {
+            let active = routes.get(prefix)?;
+            active.route.kind.matches(method, path).then_some(active)
+        };
+        let mut rest = path;
+        loop {
+            if let Some(active) = taken(rest) {
+                return Some(active);
+            }
+            let inner = rest.strip_suffix('/').unwrap_or(rest);
+            if inner.len() < rest.len() && !inner.is_empty() {
+                rest = inner;
+            } else {
+                rest = &rest[..=inner.rfind('/')?];
+            }
+        }
+    }
 }
--- a/crates/mustardtiller/src/clock/monotonic.rs
+++ b/crates/mustardtiller/src/clock/monotonic.rs
@@ -1,17 +1,22 @@
-//! Monotonic time since the process started.
+//! Time since the process started, suspensions of the host included.
 
 use std::time::Duration;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use smol::Timer;
 use smol::future;
 
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 
-/// The monotonic clock of one process; its epoch is its creation.
+/// The clock of one process; its epoch is its creation.
+///
+/// It never jumps with the time of day, and it goes on while the host is
+/// suspended: a daemon that wakes up finds the deadlines passed.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    epoch: std::time::Instant,
+    epoch_micros: u64,
 }
 
 impl Clock {
@@ -19,19 +24,19 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            epoch: std::time::Instant::now(),
+            epoch_micros: boot_micros(),
         }
     }
 
     /// Read the clock.
     #[must_use]
     pub fn now(&self) -> Instant {
-        Instant::from_micros(self.epoch.elapsed().as_micros() as u64)
+        Instant::from_micros(boot_micros().saturating_sub(self.epoch_micros))
     }
 
     /// Wait until a deadline.
     pub async fn sleep_until(&self, deadline: Deadline) {
-        Timer::at(self.timer_instant(deadline)).await;
+        Timer::after(deadline.remaining(self.now())).await;
     }
 
     /// Wait for `millis` milliseconds.
@@ -48,8 +53,11 @@
         };
         future::or(done, late).await
     }
+}
 
-    fn timer_instant(&self, deadline: Deadline) -> std::time::Instant {
-        self.epoch + Duration::from_micros(deadline.instant().as_micros())
-    }
+fn boot_micros() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(now.tv_nsec).unwrap_or_default();
+    seconds * 1_000_000 + nanos / 1_000
 }
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -14,8 +14,8 @@
 use crate::gossip::GossipSocket;
 use crate::link::fetch_values;
 use crate::metrics::Counted;
-use crate::platform::PlatformError;
-use crate::platform::PlatformSource;
+use crate::published::PublishedError;
+use crate::published::PublishedSource;
 use mustardtiller_config::Artefact;
 use mustardtiller_config::ArtefactError;
 use mustardtiller_config::Configuration;
@@ -31,7 +31,7 @@
 #[derive(Snafu)]
 enum FetchError {
     #[snafu(display("{source}"))]
-    Platform { source: PlatformError },
+    Platform { source: PublishedError },
     #[snafu(display("{source}"))]
     Artefact { source: ArtefactError },
     #[snafu(display("no peer had it"))]
@@ -49,7 +49,7 @@
 struct Controller {
     node: Arc<Node>,
     gossip: Arc<GossipSocket>,
-    platform: Arc<dyn PlatformSource>,
+    platform: Arc<dyn PublishedSource>,
     spread: Spread,
     tag: Option<String>,
     offered: Version,
@@ -61,13 +61,13 @@
 pub async fn control_configuration(
     node: Arc<Node>,
     gossip: Arc<GossipSocket>,
-    platform: Arc<dyn PlatformSource>,
+    platform: Arc<dyn PublishedSource>,
 ) {
     let (brought, inbox) = unbounded();
     let mut rng = node.rng();
     let identity = &node.board.identity;
     let spread = Spread::new(
-        identity.upstream.clone(),
+        node.member_name(),
         identity.place.clone(),
         node.settings.spread,
         node.clock.now(),
@@ -297,7 +297,7 @@
 
 async fn from_platform(
     node: &Node,
-    platform: &dyn PlatformSource,
+    platform: &dyn PublishedSource,
     mut artefact: Artefact,
 ) -> Result<Artefact, FetchError> {
     reuse_parts(node, &mut artefact);
@@ -314,7 +314,7 @@
 /// Fetch from a peer; parts that it does not hold come from the platform.
 async fn from_peer(
     node: &Node,
-    platform: &dyn PlatformSource,
+    platform: &dyn PublishedSource,
     peer: SocketAddr,
     digest: Digest,
 ) -> Result<Artefact, FetchError> {
--- a/crates/mustardtiller/src/controllers/hosts.rs
+++ b/crates/mustardtiller/src/controllers/hosts.rs
@@ -5,8 +5,8 @@
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::metrics::Counted;
-use crate::platform::PlatformSource;
-use crate::platform::parse_hosts;
+use crate::published::PublishedSource;
+use crate::published::parse_hosts;
 use mustardtiller_core::HostList;
 use mustardtiller_core::MemberState;
 
@@ -14,7 +14,7 @@
 const MAX_RETRY_MS: u64 = 5_000;
 
 /// Keep the host list on the board.
-pub async fn control_hosts(node: Arc<Node>, platform: Arc<dyn PlatformSource>) {
+pub async fn control_hosts(node: Arc<Node>, platform: Arc<dyn PublishedSource>) {
     let mut rng = node.rng();
     let start_ms = node.settings.spread.start_ms;
     node.clock.sleep_millis(rng.u64(0..=start_ms)).await;
@@ -39,7 +39,7 @@
     }
 }
 
-async fn read(platform: &dyn PlatformSource) -> Result<HostList, ()> {
+async fn read(platform: &dyn PublishedSource) -> Result<HostList, ()> {
     let bytes = platform
         .hosts()
         .await
--- a/crates/mustardtiller/src/controllers/mod.rs
+++ b/crates/mustardtiller/src/controllers/mod.rs
@@ -6,6 +6,8 @@
 mod leave;
 mod limiter;
 mod links;
+mod local;
+mod registry;
 mod routes;
 mod stop;
 
@@ -15,5 +17,7 @@
 pub use leave::control_leave;
 pub use limiter::control_limiter;
 pub use links::control_links;
+pub use local::control_local;
+pub use registry::control_registry;
 pub use routes::control_routes;
 pub use stop::control_stop;
--- /dev/null
+++ b/crates/mustardtiller/src/controllers/registry.rs
@@ -0,0 +1,413 @@
+//! Keeps the registered upstreams on the board: reads, and tells of what was read.
+
+use std::collections::HashSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_channel::unbounded;
+use smol::future;
+
+use super::routes::link_of;
+use crate::daemon::Node;
+use crate::events::Event;
+use crate::gossip::GossipSocket;
+use crate::gossip::RegistryHeard;
+use crate::link::fetch_registry;
+use crate::metrics::Counted;
+use crate::published::PublishedSource;
+use crate::published::Registrations;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::HostList;
+use mustardtiller_core::Instant;
+use mustardtiller_core::Member;
+use mustardtiller_core::MemberState;
+use mustardtiller_core::ReadOutcome;
+use mustardtiller_core::ReadTurn;
+use mustardtiller_core::Registration;
+use mustardtiller_core::RegistrationState;
+use mustardtiller_core::Registry;
+use mustardtiller_core::RegistryDelta;
+use mustardtiller_wire::RegistryNews;
+
+/// Time for one read of the platform, in milliseconds.
+const READ_MS: u64 = 1_000;
+
+/// Time to fetch a registry from a peer, in milliseconds.
+const FETCH_MS: u64 = 500;
+
+/// Age of the registry from which other places are asked, in milliseconds.
+const ASK_FROM_MS: u64 = 1_600;
+
+/// Time between two questions to other places, in milliseconds.
+const ASK_PAUSE_MS: u64 = 400;
+
+/// Malformed entries that are remembered, so that each is logged once.
+const REMEMBERED_MALFORMED: usize = 256;
+
+/// What a task of the controller brought.
+enum Brought {
+    Read {
+        began: Instant,
+        registrations: Option<Registrations>,
+    },
+    Fetched {
+        registry: Option<Registry>,
+    },
+    Heard(SocketAddr, RegistryHeard),
+    Tick,
+}
+
+struct Controller {
+    node: Arc<Node>,
+    gossip: Arc<GossipSocket>,
+    platform: Arc<dyn PublishedSource>,
+    turn: ReadTurn,
+    held: Registry,
+    known: bool,
+    reading: bool,
+    fetching: bool,
+    next_ask: Deadline,
+    malformed: HashSet<String>,
+    brought: Sender<Brought>,
+    rng: fastrand::Rng,
+}
+
+/// Keep the registered upstreams on the board.
+pub async fn control_registry(
+    node: Arc<Node>,
+    gossip: Arc<GossipSocket>,
+    platform: Arc<dyn PublishedSource>,
+) {
+    let Some(discovery) = node.settings.discovery.clone() else {
+        return;
+    };
+    let (brought, inbox) = unbounded();
+    let now = node.clock.now();
+    let rng = node.rng();
+    let controller = Controller {
+        gossip,
+        platform,
+        turn: ReadTurn::new(discovery.turn, now),
+        held: Registry::default(),
+        known: false,
+        reading: false,
+        fetching: false,
+        next_ask: Deadline::at(now),
+        malformed: HashSet::new(),
+        brought,
+        rng,
+        node,
+    };
+    controller.run(inbox).await;
+}
+
+impl Controller {
+    async fn run(mut self, inbox: Receiver<Brought>) {
+        loop {
+            let due = self.next_tick();
+            let clock = self.node.clock;
+            let gossip = Arc::clone(&self.gossip);
+            let brought = async {
+                match inbox.recv().await {
+                    Ok(brought) => brought,
+                    Err(_) => future::pending().await,
+                }
+            };
+            let heard = async {
+                let (peer, heard) = gossip.hear_registry().await;
+                Brought::Heard(peer, heard)
+            };
+            let ticked = async {
+                clock.sleep_until(due).await;
+                Brought::Tick
+            };
+            match future::or(brought, future::or(heard, ticked)).await {
+                Brought::Tick => self.tick().await,
+                Brought::Read {
+                    began,
+                    registrations,
+                } => self.take_read(began, registrations).await,
+                Brought::Fetched { registry } => self.take_fetched(registry),
+                Brought::Heard(peer, heard) => self.take_heard(peer, heard).await,
+            }
+        }
+    }
+
+    fn read_at(&self) -> Option<Instant> {
+        self.known.then_some(self.held.read_at)
+    }
+
+    fn next_tick(&self) -> Deadline {
+        let ask = self.read_at().map_or(self.next_ask, |read_at| {
+            Deadline::in_millis(read_at, ASK_FROM_MS).max(self.next_ask)
+        });
+        if self.reading {
+            return ask;
+        }
+        ask.min(self.turn.next_read(self.read_at(), self.rank()))
+    }
+
+    async fn tick(&mut self) {
+        let now = self.node.clock.now();
+        let due = self.turn.next_read(self.read_at(), self.rank());
+        if !self.reading && due.has_passed(now) {
+            self.reading = true;
+            self.read(now);
+        }
+        let old = self
+            .read_at()
+            .is_none_or(|at| now.micros_since(at) >= ASK_FROM_MS * 1_000);
+        if old && self.next_ask.has_passed(now) {
+            self.next_ask = Deadline::in_millis(now, ASK_PAUSE_MS);
+            if let Some(peer) = self.any_peer() {
+                self.gossip.ask_registry(peer).await;
+            }
+        }
+    }
+
+    /// Return the own place in the order in which daemons of one place read.
+    fn rank(&self) -> usize {
+        let here = &self.node.board.identity.place;
+        let own = weight(self.node.settings.link);
+        let peers = self.held.entries().filter(|entry| entry.place == *here);
+        peers
+            .map(|entry| weight(link_of(&self.node, entry.address)))
+            .filter(|other| *other < own)
+            .count()
+    }
+
+    fn read(&self, began: Instant) {
+        let node = Arc::clone(&self.node);
+        let platform = Arc::clone(&self.platform);
+        let brought = self.brought.clone();
+        self.node.spawn(async move {
+            node.metrics.count(Counted::PlatformReads);
+            let deadline = Deadline::in_millis(began, READ_MS);
+            let read = node.clock.within(deadline, platform.registrations());
+            let registrations = match read.await {
+                Some(Ok(registrations)) => Some(registrations),
+                Some(Err(e)) => {
+                    Event::RegistryFailed.log(e);
+                    None
+                }
+                None => {
+                    Event::RegistryFailed.log("no answer in time");
+                    None
+                }
+            };
+            let _ = brought.try_send(Brought::Read {
+                began,
+                registrations,
+            });
+        });
+    }
+
+    async fn take_read(&mut self, began: Instant, registrations: Option<Registrations>) {
+        self.reading = false;
+        let now = self.node.clock.now();
+        let rank = self.rank();
+        let Some(registrations) = registrations else {
+            self.node.metrics.count(Counted::PlatformFailures);
+            self.turn
+                .ended(ReadOutcome::Failed, rank, now, &mut self.rng);
+            return;
+        };
+        self.turn.ended(ReadOutcome::Read, rank, now, &mut self.rng);
+        for wrong in registrations.malformed {
+            if self.malformed.len() < REMEMBERED_MALFORMED && !self.malformed.contains(&wrong) {
+                Event::RegistrationMalformed.log(&wrong);
+                self.malformed.insert(wrong);
+            }
+        }
+        let keeps = self.turn.keeps_missing(self.read_at(), began);
+        let mut registry = Registry::new(registrations.entries, began);
+        if keeps {
+            registry = registry.keeping(&self.held);
+        }
+        let before = self.held.digest();
+        let delta = registry.delta_from(&self.held);
+        self.put(registry, &delta);
+        self.tell_place(before, &delta).await;
+    }
+
+    fn take_fetched(&mut self, registry: Option<Registry>) {
+        self.fetching = false;
+        if let Some(registry) = registry.filter(|r| self.is_newer(r.read_at)) {
+            let delta = registry.delta_from(&self.held);
+            self.put(registry, &delta);
+        }
+    }
+
+    async fn take_heard(&mut self, peer: SocketAddr, heard: RegistryHeard) {
+        match heard {
+            RegistryHeard::Asked => {
+                if self.known {
+                    let news = self.news(self.held.digest(), &RegistryDelta::default());
+                    self.gossip.tell_registry(peer, &news).await;
+                }
+            }
+            RegistryHeard::News(news) => self.take_news(peer, &news),
+        }
+    }
+
+    fn take_news(&mut self, peer: SocketAddr, news: &RegistryNews) {
+        let now = self.node.clock.now();
+        let read_at = now.minus_micros(u64::from(news.age_ms) * 1_000);
+        if !self.is_newer(read_at) {
+            return;
+        }
+        let held = self.held.digest();
+        if self.known && held == news.digest {
+            self.held.read_at = read_at;
+            return;
+        }
+        let delta = delta_of(news);
+        if self.known && held == news.before {
+            let registry = self.held.with(&delta, read_at);
+            if registry.digest() == news.digest {
+                self.put(registry, &delta);
+                return;
+            }
+        }
+        if !self.fetching {
+            self.fetching = true;
+            self.fetch(peer, read_at);
+        }
+    }
+
+    fn fetch(&self, peer: SocketAddr, read_at: Instant) {
+        let node = Arc::clone(&self.node);
+        let brought = self.brought.clone();
+        self.node.spawn(async move {
+            node.metrics.count(Counted::PeerFetches);
+            let deadline = Deadline::in_millis(node.clock.now(), FETCH_MS);
+            let form = fetch_registry(&node, peer, deadline).await;
+            if form.is_none() {
+                node.metrics.count(Counted::PeerFetchesFailed);
+            }
+            let registry = form
+                .map(|form| Registry::new(form.entries.iter().map(Registration::from), read_at));
+            let _ = brought.try_send(Brought::Fetched { registry });
+        });
+    }
+
+    fn is_newer(&self, read_at: Instant) -> bool {
+        self.read_at().is_none_or(|held| read_at > held)
+    }
+
+    /// Hold a newer registry and put what changed on the board.
+    fn put(&mut self, registry: Registry, delta: &RegistryDelta) {
+        self.held = registry;
+        let first = !std::mem::replace(&mut self.known, true);
+        if !first && delta.changed.is_empty() && delta.removed.is_empty() {
+            return;
+        }
+        for entry in &delta.changed {
+            Event::UpstreamRegistered.log(format_args!(
+                "{} of {} at {}: {:?}",
+                entry.name, entry.service, entry.place, entry.state
+            ));
+        }
+        for name in &delta.removed {
+            Event::UpstreamUnregistered.log(name);
+        }
+        let hosts = self.hosts();
+        self.node
+            .board
+            .registry
+            .publish(Arc::new(self.held.clone()));
+        self.node.board.hosts.publish(Arc::new(hosts));
+    }
+
+    /// Derive the daemons' host list: one beside each upstream.
+    fn hosts(&self) -> HostList {
+        let members = self.held.entries().map(|entry| {
+            let link = link_of(&self.node, entry.address);
+            Member {
+                name: link.to_string().as_str().into(),
+                place: entry.place.clone(),
+                link,
+                state: match entry.state {
+                    RegistrationState::Ready => MemberState::Live,
+                    RegistrationState::Draining => MemberState::Leaving,
+                },
+            }
+        });
+        HostList {
+            members: members.collect(),
+        }
+    }
+
+    async fn tell_place(&self, before: u64, delta: &RegistryDelta) {
+        let news = self.news(before, delta);
+        let here = &self.node.board.identity.place;
+        let own = self.node.settings.link;
+        for entry in self.held.entries().filter(|entry| entry.place == *here) {
+            let link = link_of(&self.node, entry.address);
+            if link != own {
+                self.gossip.tell_registry(link, &news).await;
+            }
+        }
+    }
+
+    fn news(&self, before: u64, delta: &RegistryDelta) -> RegistryNews {
+        let age = self.node.clock.now().micros_since(self.held.read_at) / 1_000;
+        RegistryNews {
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            before,
+            digest: self.held.digest(),
+            changed: delta
+                .changed
+                .iter()
+                .map(|entry| entry.as_ref().into())
+                .collect(),
+            removed: delta.removed.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Draw a peer of another place, or of any if there is no other.
+    fn any_peer(&mut self) -> Option<SocketAddr> {
+        let here = self.node.board.identity.place.clone();
+        let own = self.node.settings.link;
+        let links = |elsewhere: bool| -> Vec<SocketAddr> {
+            self.held
+                .entries()
+                .filter(|entry| !elsewhere || entry.place != here)
+                .map(|entry| link_of(&self.node, entry.address))
+                .filter(|link| *link != own)
+                .collect()
+        };
+        let mut links_there = links(true);
+        if links_there.is_empty() {
+            links_there = links(false);
+        }
+        self.rng.choice(links_there)
+    }
+}
+
+fn delta_of(news: &RegistryNews) -> RegistryDelta {
+    RegistryDelta {
+        changed: news
+            .changed
+            .iter()
+            .map(|form| Arc::new(form.into()))
+            .collect(),
+        removed: news
+            .removed
+            .iter()
+            .map(|name| name.as_str().into())
+            .collect(),
+    }
+}
+
+/// Return a value by which daemons of one place agree on an order.
+fn weight(link: SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    link.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -1,10 +1,12 @@
 //! Derives routes from the configuration and the host list.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use smol::future;
 
+use crate::board::ActiveRoute;
 use crate::board::Candidate;
 use crate::board::Routes;
 use crate::board::ServiceRoutes;
@@ -17,7 +19,10 @@
 use mustardtiller_config::Upstream;
 use mustardtiller_core::HostList;
 use mustardtiller_core::MemberState;
+use mustardtiller_core::Registration;
+use mustardtiller_core::RegistrationState;
 use mustardtiller_core::RetryBudget;
+use mustardtiller_core::Splitter;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::subset;
 
@@ -35,11 +40,12 @@
     loop {
         let configured = node.board.configuration.listen();
         let listed = node.board.hosts.listen();
+        let registered = node.board.registry.listen();
         let configuration = node.board.configuration.share();
         if let Some(configuration) = configuration.as_ref() {
             update(&node, configuration);
         }
-        future::or(configured, listed).await;
+        future::or(configured, future::or(listed, registered)).await;
     }
 }
 
@@ -51,12 +57,22 @@
     node.board.routes.publish(Arc::clone(&new));
     retire_gone(node, &old, &new);
     update_callers(node, configuration);
-    if node.own_upstream().is_none() {
-        Event::NotConfigured.log(&node.board.identity.upstream);
+    if node.settings.discovery.is_none() {
+        update_local(node, configuration);
     }
     node.limits_changed.notify(1);
 }
 
+/// Put the upstream beside this daemon on the board, as operators describe it.
+fn update_local(node: &Node, configuration: &Configuration) {
+    let own = configuration.upstream(&node.board.identity.upstream);
+    let own = own.map(|(_, upstream)| Arc::clone(upstream));
+    if own.is_none() {
+        Event::NotConfigured.log(&node.board.identity.upstream);
+    }
+    node.board.local.publish(Arc::new(own));
+}
+
 fn derive(
     node: &Arc<Node>,
     configuration: &Configuration,
@@ -73,6 +89,20 @@
         }
         routes.services.insert(service.name.clone(), derived);
     }
+    for route in &configuration.fleet.routes {
+        let before = old.routes.get(&route.host);
+        let before = before.and_then(|paths| paths.get(&route.kind.path));
+        let splitter = before.map_or_else(
+            || Arc::new(Splitter::new(node.rng().u32(..))),
+            |before| Arc::clone(&before.splitter),
+        );
+        let active = ActiveRoute {
+            route: Arc::clone(route),
+            splitter,
+        };
+        let paths = routes.routes.entry(Arc::clone(&route.host)).or_default();
+        paths.insert(Arc::clone(&route.kind.path), active);
+    }
     routes
 }
 
@@ -83,14 +113,15 @@
     hosts: &HostList,
     before: Option<&Arc<ServiceRoutes>>,
 ) -> ServiceRoutes {
-    let names: Vec<&UpstreamName> = service.upstreams.iter().map(|u| &u.name).collect();
+    let upstreams = upstreams_of(node, service);
+    let names: Vec<&UpstreamName> = upstreams.iter().map(|u| &u.name).collect();
     let me = node.board.identity.upstream.as_str();
     let chosen = subset(me, &names, service.subset as usize);
     let mut candidates = Vec::with_capacity(chosen.len());
     let mut others = Vec::new();
-    for (index, upstream) in service.upstreams.iter().enumerate() {
+    for (index, upstream) in upstreams.iter().enumerate() {
         let candidate = derive_candidate(node, configuration, service, upstream, before);
-        let leaving = hosts.state_of(&upstream.name) == Some(MemberState::Leaving);
+        let leaving = is_leaving(node, hosts, &upstream.name);
         candidate.signals.set_listed_leaving(leaving);
         if chosen.binary_search(&index).is_ok() {
             candidates.push(candidate);
@@ -112,6 +143,47 @@
     routes
 }
 
+/// Return the upstreams that operators name, or those that registered themselves.
+fn upstreams_of(node: &Node, service: &Service) -> Vec<Arc<Upstream>> {
+    if !service.discovered {
+        return service.upstreams.clone();
+    }
+    let registry = node.board.registry.read();
+    let registered = registry
+        .entries()
+        .filter(|entry| entry.service == service.name);
+    registered
+        .map(|entry| Arc::new(discovered_upstream(node, entry)))
+        .collect()
+}
+
+/// Describe a registered upstream.
+///
+/// Its daemon stands on the same host and takes links at the port that is ours.
+fn discovered_upstream(node: &Node, entry: &Registration) -> Upstream {
+    Upstream {
+        name: entry.name.clone(),
+        place: entry.place.clone(),
+        address: entry.address,
+        link: link_of(node, entry.address),
+        slots: entry.slots,
+        connections: u32::MAX,
+    }
+}
+
+/// Return where the daemon beside a registered upstream takes links.
+pub fn link_of(node: &Node, upstream: SocketAddr) -> SocketAddr {
+    SocketAddr::new(upstream.ip(), node.settings.link.port())
+}
+
+fn is_leaving(node: &Node, hosts: &HostList, name: &UpstreamName) -> bool {
+    let registry = node.board.registry.read();
+    match registry.get(name.as_str()) {
+        Some(entry) => entry.state == RegistrationState::Draining,
+        None => hosts.state_of(name) == Some(MemberState::Leaving),
+    }
+}
+
 /// Carry over signals and link of an upstream that stays where it is.
 fn derive_candidate(
     node: &Node,
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -17,11 +17,13 @@
 use crate::events::Event;
 use crate::gate::AdmissionDesk;
 use crate::gate::LedgerDesk;
+use crate::http::Dialect;
 use crate::link::keep_link;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::upstream::UpstreamPool;
 use mustardtiller_config::Upstream;
+use mustardtiller_core::UpstreamName;
 use mustardtiller_wire::LoadReport;
 
 /// Odd number that spreads seeds (2^64 divided by the golden ratio).
@@ -38,6 +40,8 @@
     pub metrics: Arc<Metrics>,
     /// The settings.
     pub settings: Settings,
+    /// How callers and upstreams write what is decided.
+    pub dialect: Dialect,
     /// The executor that runs every task.
     pub executor: Arc<Executor<'static>>,
     /// The seed of every random choice.
@@ -54,6 +58,8 @@
     pub metrics: Arc<Metrics>,
     /// The settings.
     pub settings: Settings,
+    /// How callers and upstreams write what is decided.
+    pub dialect: Dialect,
     /// Where requests ask for slots of the upstream.
     pub admission: AdmissionDesk,
     /// Where requests with tokens are presented.
@@ -76,6 +82,7 @@
             clock: parts.clock,
             metrics: parts.metrics,
             settings: parts.settings,
+            dialect: parts.dialect,
             admission: AdmissionDesk::new(),
             ledger: LedgerDesk::new(),
             pool: UpstreamPool::new(),
@@ -110,10 +117,29 @@
     /// Return the object of the upstream beside this daemon.
     #[must_use]
     pub fn own_upstream(&self) -> Option<Arc<Upstream>> {
-        let configuration = self.board.configuration.read();
-        let configuration = configuration.as_ref().as_ref()?;
-        let (_, upstream) = configuration.upstream(&self.board.identity.upstream)?;
-        Some(Arc::clone(upstream))
+        self.board.local.read().as_ref().clone()
+    }
+
+    /// Return the name by which the host list knows this daemon.
+    #[must_use]
+    pub fn member_name(&self) -> UpstreamName {
+        match self.settings.discovery {
+            None => self.board.identity.upstream.clone(),
+            Some(_) => self.settings.link.to_string().as_str().into(),
+        }
+    }
+
+    /// Report whether the gate serves the upstream of this name.
+    #[must_use]
+    pub fn serves(&self, upstream: &str) -> bool {
+        if self.settings.discovery.is_none() {
+            return self.board.identity.upstream.as_str() == upstream;
+        }
+        let local = self.board.local.read();
+        local
+            .as_ref()
+            .as_ref()
+            .is_some_and(|local| local.name.as_str() == upstream)
     }
 
     /// Return the budget for measuring the upstream, in thousandths a second.
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -26,17 +26,20 @@
 use crate::daemon::NodeParts;
 use crate::events::Event;
 use crate::front::serve_callers;
+use crate::front::serve_ready;
 use crate::gate::control_admission;
 use crate::gate::control_ledger;
 use crate::gossip::GossipSocket;
+use crate::http::Dialect;
 use crate::link::serve_links;
 use crate::metrics::Metrics;
 use crate::metrics::serve_metrics;
-use crate::platform::HttpPlatform;
-use crate::platform::PlatformSource;
+use crate::published::HttpPublished;
+use crate::published::PublishedSource;
 use crate::settings::Settings;
 use mustardtiller_core::HostList;
 use mustardtiller_core::Incarnation;
+use mustardtiller_core::Registry;
 
 /// Why a daemon did not start.
 #[derive(Debug)]
@@ -79,11 +82,11 @@
     /// Returns an error if an address is taken or a thread can't be started.
     pub fn start(settings: Settings, random: u128) -> Result<Self, StartError> {
         let clock = Clock::start();
-        let platform = Arc::new(HttpPlatform::new(settings.platform, clock));
-        Self::start_with(settings, random, clock, platform)
+        let platform = Arc::new(HttpPublished::new(settings.platform, clock));
+        Self::start_with(settings, random, clock, platform, Dialect::default())
     }
 
-    /// Start a daemon that reads another platform.
+    /// Start a daemon that reads another platform and speaks another dialect.
     ///
     /// # Errors
     ///
@@ -92,11 +95,13 @@
         settings: Settings,
         random: u128,
         clock: Clock,
-        platform: Arc<dyn PlatformSource>,
+        platform: Arc<dyn PublishedSource>,
+        dialect: Dialect,
     ) -> Result<Self, StartError> {
         let executor = Arc::new(Executor::new());
         let threads = settings.threads;
-        let node = Arc::new(new_node(settings, random, clock, Arc::clone(&executor)));
+        let node = new_node(settings, random, clock, dialect, Arc::clone(&executor));
+        let node = Arc::new(node);
         smol::block_on(spawn_all(&node, platform))?;
         let (end, ended) = bounded(1);
         let threads = (1..threads)
@@ -146,6 +151,7 @@
     settings: Settings,
     random: u128,
     clock: Clock,
+    dialect: Dialect,
     executor: Arc<Executor<'static>>,
 ) -> Node {
     let identity = Identity {
@@ -160,6 +166,9 @@
         configuration: Snapshot::new(None),
         artefact: Snapshot::new(None),
         hosts: Snapshot::new(HostList::default()),
+        registry: Snapshot::new(Registry::default()),
+        local: Snapshot::new(None),
+        local_doubt: Signal::new(),
         routes: Snapshot::new(Routes::default()),
         gate: GateState::new(now, warm_at),
         phase: PhaseCell::new(),
@@ -170,12 +179,13 @@
         clock,
         metrics: Arc::new(Metrics::new()),
         settings,
+        dialect,
         executor,
         seed: random as u64,
     })
 }
 
-async fn spawn_all(node: &Arc<Node>, platform: Arc<dyn PlatformSource>) -> Result<(), StartError> {
+async fn spawn_all(node: &Arc<Node>, platform: Arc<dyn PublishedSource>) -> Result<(), StartError> {
     let settings = &node.settings;
     // The link comes first: who holds it is the one daemon of this upstream.
     let links = bind("link", settings.link).await?;
@@ -189,9 +199,14 @@
         let listener = bind("metrics", address).await?;
         node.spawn(serve_metrics(Arc::clone(node), listener));
     }
-    let hosts = controllers::control_hosts(Arc::clone(node), Arc::clone(&platform));
-    node.spawn(hosts);
+    if let Some(address) = settings.ready {
+        let listener = bind("ready", address).await?;
+        node.spawn(serve_ready(Arc::clone(node), listener));
+    }
     let gossip = Arc::new(gossip);
+    let receiving = Arc::clone(&gossip);
+    node.spawn(async move { receiving.run().await });
+    spawn_membership(node, &gossip, &platform);
     node.spawn(controllers::control_configuration(
         Arc::clone(node),
         gossip,
@@ -201,7 +216,6 @@
     node.spawn(controllers::control_links(Arc::clone(node)));
     node.spawn(controllers::control_health(Arc::clone(node)));
     node.spawn(controllers::control_limiter(Arc::clone(node)));
-    node.spawn(controllers::control_leave(Arc::clone(node)));
     node.spawn(controllers::control_stop(Arc::clone(node)));
     node.spawn(control_admission(Arc::clone(node)));
     node.spawn(control_ledger(Arc::clone(node)));
@@ -210,6 +224,27 @@
     Ok(())
 }
 
+/// Start what keeps the hosts and the own upstream on the board.
+fn spawn_membership(
+    node: &Arc<Node>,
+    gossip: &Arc<GossipSocket>,
+    platform: &Arc<dyn PublishedSource>,
+) {
+    if node.settings.discovery.is_some() {
+        let registry = controllers::control_registry(
+            Arc::clone(node),
+            Arc::clone(gossip),
+            Arc::clone(platform),
+        );
+        node.spawn(registry);
+        node.spawn(controllers::control_local(Arc::clone(node)));
+    } else {
+        let hosts = controllers::control_hosts(Arc::clone(node), Arc::clone(platform));
+        node.spawn(hosts);
+        node.spawn(controllers::control_leave(Arc::clone(node)));
+    }
+}
+
 async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address).await;
     listener.context(BindSnafu { what, address })
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -16,6 +16,7 @@
 use crate::entry::call::InFlight;
 use crate::link::ClientStream;
 use crate::link::Reply;
+use crate::link::StreamLimits;
 use mustardtiller_config::Kind;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::NotRun;
@@ -30,6 +31,9 @@
 use mustardtiller_wire::RequestHead;
 use mustardtiller_wire::TokenForm;
 
+/// Largest body that goes with the head of its request, in bytes: one piece.
+const MAX_HEAD_BODY_BYTES: usize = 16 * 1024;
+
 /// Status from which an answer counts as an upstream's error.
 const ERROR_STATUS: u16 = 500;
 
@@ -42,6 +46,8 @@
     pub kind: &'a Kind,
     /// When the call stops being wanted.
     pub deadline: Deadline,
+    /// Until when an answer has its full worth.
+    pub target: Deadline,
     /// This attempt is a retry, or the call stems from one.
     pub retried: bool,
 }
@@ -92,7 +98,11 @@
     };
     let head = request_head(cx, candidate, call);
     let load = InFlight::begin(candidate, cx.node.clock);
-    let opened = link.open(unsent, head, cx.deadline, now);
+    let limits = StreamLimits {
+        deadline: cx.deadline,
+        target: cx.target,
+    };
+    let opened = link.open(unsent, head, limits, now);
     let (sent, stream) = match opened {
         Ok(opened) => opened,
         Err(e) => return Err(AttemptError::Unsent(e.unsent.refuse(e.reason))),
@@ -173,10 +183,17 @@
 /// Send the body if the gate wants it, and wait for the answer.
 async fn exchange(mut stream: ClientStream, body: &mut CallBody) -> Exchanged {
     match (stream.reply().await, body) {
-        (Reply::Admitted, CallBody::Streamed { source, .. }) => {
+        (Reply::Admitted, body) => {
             let sender = stream.body_sender();
             let sending = async {
-                send_body(&sender, source.as_mut()).await;
+                match body {
+                    CallBody::Whole(bytes) => {
+                        if sender.send(bytes.clone()).await {
+                            sender.end();
+                        }
+                    }
+                    CallBody::Streamed { source, .. } => send_body(&sender, source.as_mut()).await,
+                }
                 future::pending::<Reply>().await
             };
             let reply = future::or(stream.reply(), sending).await;
@@ -216,6 +233,10 @@
 fn request_head(cx: AttemptCx<'_>, candidate: &Candidate, call: &Call) -> RequestHead {
     let body = match &call.body {
         CallBody::Whole(bytes) if bytes.is_empty() => BodyForm::Empty,
+        // A long body follows in pieces, once it is admitted, and holds up no other request.
+        CallBody::Whole(bytes) if bytes.len() > MAX_HEAD_BODY_BYTES => BodyForm::Streamed {
+            length: Some(bytes.len() as u64),
+        },
         CallBody::Whole(bytes) => BodyForm::Whole(bytes.clone()),
         CallBody::Streamed { length, .. } => BodyForm::Streamed { length: *length },
     };
@@ -223,10 +244,13 @@
         upstream: candidate.upstream.name.to_string(),
         caller: call.caller.clone(),
         urgent: cx.kind.urgent,
+        priority: cx.kind.priority,
+        idempotent: cx.kind.idempotent,
         method: call.method.clone(),
         uri: call.uri.clone(),
         headers: call.headers.clone(),
         deadline_micros: 0,
+        target_micros: 0,
         token: call.token.as_ref().map(TokenForm::from),
         depth: call.depth,
         retried: cx.retried,
--- a/crates/mustardtiller/src/entry/call.rs
+++ b/crates/mustardtiller/src/entry/call.rs
@@ -29,6 +29,8 @@
     pub headers: Vec<Header>,
     /// The caller.
     pub caller: String,
+    /// When the daemon got the call.
+    pub began: Instant,
     /// When the call stops being wanted; `None` for the kind's own deadline.
     pub deadline: Option<Deadline>,
     /// The token.
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -59,13 +59,13 @@
         Ok(found) => found,
         Err(reason) => return Err(refuse_unsent(bound.as_ref(), reason)),
     };
-    let now = node.clock.now();
-    let own = Deadline::in_millis(now, kind.deadline_ms);
+    let own = Deadline::in_millis(call.began, kind.deadline_ms);
     let deadline = call.deadline.map_or(own, |deadline| deadline.min(own));
     let cx = AttemptCx {
         node,
         kind: &kind,
         deadline,
+        target: Deadline::in_millis(call.began, kind.target_ms).min(deadline),
         retried: call.outer_retry,
     };
     node.want_links(&service);
@@ -83,10 +83,7 @@
         return Err(NotRunReason::BadRequest);
     }
     let routes = node.board.routes.read();
-    let service = routes.hosts.get(call.host.as_str());
-    let service = Arc::clone(service.ok_or(NotRunReason::NoService)?);
-    let kind = service.kind_of(&call.method, call.path());
-    let kind = Arc::clone(kind.ok_or(NotRunReason::NoKind)?);
+    let (service, kind) = routes.find(&call.host, &call.method, call.path())?;
     match (kind.token, &call.token) {
         (TokenRule::Ignored, _) => call.token = None,
         (TokenRule::Needed, None) => return Err(NotRunReason::TokenNeeded),
@@ -242,5 +239,5 @@
 ) -> Option<Arc<crate::link::LinkHandle>> {
     cx.node.want_link(candidate);
     let limit = Deadline::in_millis(cx.node.clock.now(), LINK_WAIT_MS).min(cx.deadline);
-    candidate.slot.wait(&cx.node.clock, limit).await
+    candidate.slot.wait(cx.node.clock, limit).await
 }
--- a/crates/mustardtiller/src/entry/hedge.rs
+++ b/crates/mustardtiller/src/entry/hedge.rs
@@ -110,6 +110,7 @@
         uri: call.uri.clone(),
         headers: call.headers.clone(),
         caller: call.caller.clone(),
+        began: call.began,
         deadline: call.deadline,
         token: None,
         depth: call.depth,
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -73,6 +73,14 @@
     HostsMalformed = 206 Warn "host list malformed",
     /// The configuration does not name this daemon's upstream.
     NotConfigured = 207 Warn "own upstream is not in the configuration",
+    /// The registered upstreams could not be read.
+    RegistryFailed = 208 Warn "registered upstreams not read",
+    /// A registration makes no sense and is not used.
+    RegistrationMalformed = 209 Warn "registration malformed",
+    /// An upstream registered or changed its registration.
+    UpstreamRegistered = 210 Info "upstream registered",
+    /// An upstream is no longer registered.
+    UpstreamUnregistered = 211 Info "upstream no longer registered",
     /// A link came up.
     LinkUp = 300 Info "link up",
     /// A link was lost.
@@ -95,6 +103,12 @@
     UpstreamEjected = 403 Warn "upstream rests",
     /// The token ledger is full.
     LedgerFull = 404 Error "token ledger full",
+    /// The upstream beside this daemon is known, or another than before.
+    LocalUpstream = 405 Info "own upstream",
+    /// The upstream beside this daemon can't be reached.
+    UpstreamDown = 406 Warn "own upstream down",
+    /// The upstream beside this daemon can be reached again.
+    UpstreamUp = 407 Info "own upstream up",
     /// A caller's request was malformed.
     RequestMalformed = 500 Info "request malformed",
 );
--- a/crates/mustardtiller/src/front/body.rs
+++ b/crates/mustardtiller/src/front/body.rs
@@ -25,6 +25,7 @@
     timer: Timer,
     piece_ms: u64,
     left: u64,
+    first: Option<Bytes>,
 }
 
 impl CallerBody {
@@ -37,10 +38,21 @@
             timer: Timer::never(),
             piece_ms,
             left: limit,
+            first: None,
         }
     }
 
+    /// Put bytes that were read already before the rest.
+    #[must_use]
+    pub fn behind(mut self, first: Bytes) -> Self {
+        self.first = Some(first);
+        self
+    }
+
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyCut>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(self.within_limit(first)));
+        }
         loop {
             let frame = match Pin::new(&mut self.incoming).poll_frame(cx) {
                 Poll::Ready(frame) => frame,
--- a/crates/mustardtiller/src/front/mod.rs
+++ b/crates/mustardtiller/src/front/mod.rs
@@ -2,8 +2,10 @@
 
 mod answer;
 mod body;
+mod ready;
 mod refusal;
 mod request;
 mod serve;
 
+pub use ready::serve_ready;
 pub use serve::serve_callers;
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -4,6 +4,7 @@
 use hyper::Response;
 
 use super::body::AnswerStream;
+use crate::http::Dialect;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::UnknownReason;
@@ -20,10 +21,13 @@
 /// Seconds after which a refused request may be tried again.
 const RETRY_AFTER_S: u32 = 1;
 
+/// The same where callers read fractions of a second, in milliseconds.
+const RETRY_AFTER_MS: u32 = 100;
+
 /// Turn a refusal into a response.
 ///
 /// The body is JSON: `{"outcome":"not-run","reason":"queue-full"}`.
-pub fn refusal_response(refusal: Refusal) -> Response<AnswerStream> {
+pub fn refusal_response(dialect: &Dialect, refusal: Refusal) -> Response<AnswerStream> {
     let (class, reason) = (refusal.class_text(), refusal.reason_text());
     let body = format!("{{\"outcome\":\"{class}\",\"reason\":\"{reason}\"}}\n");
     let mut builder = Response::builder()
@@ -33,7 +37,12 @@
         .header(RETRY_HEADER, "no")
         .header("content-type", "application/json");
     if may_try_later(refusal) {
-        builder = builder.header("retry-after", RETRY_AFTER_S);
+        builder = if dialect.fractional_retry {
+            let seconds = f64::from(RETRY_AFTER_MS) / 1_000.0;
+            builder.header("retry-after", seconds.to_string())
+        } else {
+            builder.header("retry-after", RETRY_AFTER_S)
+        };
     }
     builder
         .body(AnswerStream::Whole(Bytes::from(body)))
@@ -51,6 +60,7 @@
     match reason {
         NotRunReason::BadRequest | NotRunReason::BadToken | NotRunReason::BodyCut => 400,
         NotRunReason::NoService => 421,
+        NotRunReason::BodyTooLarge => 413,
         NotRunReason::NoKind => 404,
         NotRunReason::TokenNeeded => 428,
         NotRunReason::TokenVoid => 409,
@@ -64,6 +74,8 @@
         | NotRunReason::UpstreamDown
         | NotRunReason::WrongUpstream
         | NotRunReason::LedgerFull
+        | NotRunReason::UpstreamShed
+        | NotRunReason::TooLate
         | NotRunReason::NoConfiguration => 503,
     }
 }
@@ -78,6 +90,7 @@
         | UnknownReason::TokenEarly => 409,
         UnknownReason::BadAnswer | UnknownReason::AnswerCut | UnknownReason::LinkLost => 502,
         UnknownReason::LinkSilent
+        | UnknownReason::UpstreamSilent
         | UnknownReason::DeadlinePassed
         | UnknownReason::BodyCut
         | UnknownReason::GateUnreachable => 504,
--- a/crates/mustardtiller/src/front/request.rs
+++ b/crates/mustardtiller/src/front/request.rs
@@ -4,8 +4,8 @@
 //! override a length and strip it (RFC 9112, section 6.3).
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -18,7 +18,7 @@
 use crate::entry::Call;
 use crate::entry::CallBody;
 use crate::entry::TokenText;
-use crate::upstream::DEADLINE_HEADER;
+use crate::http::DeadlineForm;
 use crate::upstream::DEPTH_HEADER;
 use crate::upstream::RETRIED_HEADER;
 use crate::upstream::end_to_end;
@@ -26,12 +26,6 @@
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Token;
 
-/// Time that a caller gives a request, in milliseconds.
-pub const TIMEOUT_HEADER: &str = "mustardtiller-timeout-ms";
-
-/// Names the caller.
-pub const CALLER_HEADER: &str = "mustardtiller-caller";
-
 /// Carries a token.
 pub const TOKEN_HEADER: &str = "mustardtiller-token";
 
@@ -77,6 +71,7 @@
 ///
 /// Returns what is wrong; then nothing was sent anywhere.
 pub async fn read_call(node: &Node, req: Request<Incoming>) -> Result<Call, BadCall> {
+    let began = node.clock.now();
     let host = host_of(&req)?;
     let headers = req.headers();
     if req.method() == Method::CONNECT || headers.contains_key(hyper::header::UPGRADE) {
@@ -84,9 +79,12 @@
     }
     let deadline = deadline_of(node, headers)?;
     let token = token_of(headers)?;
-    let caller = text_of(headers, CALLER_HEADER)?
-        .unwrap_or("other")
-        .to_owned();
+    let caller = match &node.settings.caller {
+        Some(caller) => caller.clone(),
+        None => text_of(headers, node.dialect.caller)?
+            .unwrap_or("other")
+            .to_owned(),
+    };
     let depth = number_of(headers, DEPTH_HEADER)?.unwrap_or(0);
     let depth = u8::try_from(depth).map_err(|_| bad("depth out of range"))?;
     let outer_retry = headers.contains_key(RETRIED_HEADER);
@@ -97,15 +95,18 @@
         .to_owned();
     let method = req.method().as_str().to_owned();
     let mut sent = end_to_end(headers);
-    sent.retain(|header| !header.name.starts_with(OWN_PREFIX));
-    let streamed = is_streamed(node, &host, &method, req.uri().path());
-    let body = read_body(node, req.into_body(), streamed).await?;
+    sent.retain(|header| !header.name.starts_with(OWN_PREFIX) && !node.dialect.sets(&header.name));
+    let rule = body_rule(node, &host, &method, req.uri().path());
+    let wait = Deadline::in_millis(began, node.settings.piece_ms);
+    let wait = deadline.map_or(wait, |deadline| deadline.min(wait));
+    let body = read_body(node, req.into_body(), rule, wait).await?;
     Ok(Call {
         host,
         method,
         uri,
         headers: sent,
         caller,
+        began,
         deadline,
         token,
         depth,
@@ -114,51 +115,125 @@
     })
 }
 
-/// Report whether the request is of a kind whose body is streamed.
-fn is_streamed(node: &Node, host: &str, method: &str, path: &str) -> bool {
-    let routes = node.board.routes.read();
-    let kind = routes
-        .hosts
-        .get(host)
-        .and_then(|service| service.kind_of(method, path));
-    kind.is_some_and(|kind| kind.upload)
+/// How the body of a request is taken.
+#[derive(Clone, Copy, Debug)]
+struct BodyRule {
+    /// It is passed on piece by piece even if it is short.
+    streamed: bool,
+    /// Largest body that is held, in bytes.
+    held_bytes: u64,
+    /// Largest body at all, in bytes.
+    most_bytes: u64,
+}
+
+/// Find how the body of a request is taken.
+///
+/// Without a configuration no limit is known, and nothing is refused for one.
+fn body_rule(node: &Node, host: &str, method: &str, path: &str) -> BodyRule {
+    let configuration = node.board.configuration.read();
+    let Some(configuration) = configuration.as_ref().as_ref() else {
+        return BodyRule {
+            streamed: false,
+            held_bytes: node.settings.held_body_bytes,
+            most_bytes: u64::MAX,
+        };
+    };
+    let kind = node.board.routes.read().kind_of(host, method, path);
+    let upload = kind.is_some_and(|kind| kind.upload);
+    let settings = &node.settings;
+    match configuration.fleet.limits {
+        Some(limits) => BodyRule {
+            streamed: false,
+            held_bytes: settings.held_body_bytes.min(limits.body_bytes),
+            most_bytes: limits.body_bytes,
+        },
+        None if upload => BodyRule {
+            streamed: true,
+            held_bytes: 0,
+            most_bytes: settings.streamed_body_bytes,
+        },
+        None => BodyRule {
+            streamed: false,
+            held_bytes: settings.held_body_bytes,
+            most_bytes: settings.held_body_bytes,
+        },
+    }
 }
 
-async fn read_body(node: &Node, body: Incoming, streamed: bool) -> Result<CallBody, BadCall> {
+/// Read a short body whole; leave a long one to be passed on piece by piece.
+async fn read_body(
+    node: &Node,
+    body: Incoming,
+    rule: BodyRule,
+    deadline: Deadline,
+) -> Result<CallBody, BadCall> {
     let length = body.size_hint().exact();
     if length == Some(0) {
         return Ok(CallBody::Whole(Bytes::new()));
     }
-    if streamed {
-        let limit = node.settings.streamed_body_bytes;
-        if length.is_some_and(|length| length > limit) {
-            return Err(bad("body too large"));
-        }
-        let source = Box::new(CallerBody::new(body, node.settings.piece_ms, limit));
-        return Ok(CallBody::Streamed { length, source });
+    if length.is_some_and(|length| length > rule.most_bytes) {
+        return Err(BadCall {
+            reason: NotRunReason::BodyTooLarge,
+            wrong: "body too large",
+        });
     }
-    let limit = node.settings.held_body_bytes;
-    if length.is_some_and(|length| length > limit) {
-        return Err(bad("body too large"));
+    let piece_ms = node.settings.piece_ms;
+    if rule.streamed || length.is_some_and(|length| length > rule.held_bytes) {
+        let source = Box::new(CallerBody::new(body, piece_ms, rule.most_bytes));
+        return Ok(CallBody::Streamed { length, source });
     }
-    let deadline = Deadline::in_millis(node.clock.now(), node.settings.piece_ms);
-    let reading = Limited::new(body, limit as usize).collect();
+    let reading = collect(body, rule, piece_ms);
     match node.clock.within(deadline, reading).await {
-        Some(Ok(body)) => Ok(CallBody::Whole(body.to_bytes())),
-        Some(Err(_)) => Err(bad("body cut or too large")),
-        None => Err(bad("body too slow")),
+        Some(read) => read,
+        None => Err(BadCall {
+            reason: NotRunReason::BodyCut,
+            wrong: "body too slow",
+        }),
     }
 }
 
+/// Collect a body of unknown length until it ends or is too long to be held.
+async fn collect(mut body: Incoming, rule: BodyRule, piece_ms: u64) -> Result<CallBody, BadCall> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BadCall {
+            reason: NotRunReason::BodyCut,
+            wrong: "body cut",
+        })?;
+        if let Ok(piece) = frame.into_data() {
+            bytes.extend_from_slice(&piece);
+        }
+        if bytes.len() as u64 > rule.most_bytes {
+            return Err(BadCall {
+                reason: NotRunReason::BodyTooLarge,
+                wrong: "body too large",
+            });
+        }
+        if bytes.len() as u64 > rule.held_bytes {
+            let source = CallerBody::new(body, piece_ms, rule.most_bytes);
+            let source = Box::new(source.behind(bytes.freeze()));
+            return Ok(CallBody::Streamed {
+                length: None,
+                source,
+            });
+        }
+    }
+    Ok(CallBody::Whole(bytes.freeze()))
+}
+
 /// Return the deadline that the request brings.
 ///
 /// An absolute deadline comes from an upstream on this host, whose wall clock
 /// is ours; callers elsewhere say how long they wait.
 fn deadline_of(node: &Node, headers: &HeaderMap) -> Result<Option<Deadline>, BadCall> {
     let now = node.clock.now();
-    let timeout = number_of(headers, TIMEOUT_HEADER)?;
+    let dialect = &node.dialect;
+    let timeout = number_of(headers, dialect.timeout)?;
     let timeout = timeout.map(|millis| Deadline::in_millis(now, millis));
-    let absolute = number_of(headers, DEADLINE_HEADER)?.map(|unix_ms| {
+    if dialect.deadline_form == DeadlineForm::LeftMs {
+        return Ok(timeout);
+    }
+    let absolute = number_of(headers, dialect.deadline)?.map(|unix_ms| {
         let unix_now = std::time::SystemTime::now()
             .duration_since(std::time::UNIX_EPOCH)
             .map_or(0, |since| since.as_millis() as u64);
--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -95,7 +95,7 @@
     let _ = socket.set_nodelay(true);
     let service = service_fn(|req| {
         let node = Arc::clone(&node);
-        async move { Ok::<_, Infallible>(respond(&node, req).await) }
+        async move { Ok::<_, Infallible>(Box::pin(respond(&node, req)).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -208,7 +208,7 @@
 fn refused(node: &Node, reason: NotRunReason) -> Response<AnswerStream> {
     let refusal = Attempt::begin().refuse(reason).into();
     node.metrics.count_refusal(refusal);
-    refusal_response(refusal)
+    refusal_response(&node.dialect, refusal)
 }
 
 fn plain(status: u16, text: String) -> Response<AnswerStream> {
--- a/crates/mustardtiller/src/gate/request.rs
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -18,6 +18,10 @@
     pub caller: String,
     /// Whether it goes before ordinary requests.
     pub urgent: bool,
+    /// Rank among kinds of request; zero goes first.
+    pub priority: u8,
+    /// It may run more than once.
+    pub idempotent: bool,
     /// The HTTP method.
     pub method: String,
     /// The path and query.
@@ -26,6 +30,8 @@
     pub headers: Vec<Header>,
     /// When it stops being wanted, in this process's time.
     pub deadline: Deadline,
+    /// Until when an answer has its full worth.
+    pub target: Deadline,
     /// Its token.
     pub token: Option<Token>,
     /// How deep in a tree of calls it is.
@@ -36,6 +42,38 @@
     pub body: GateBody,
 }
 
+impl GateRequest {
+    /// Return the value of a header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&Bytes> {
+        let mut headers = self.headers.iter();
+        headers.find(|h| h.name == name).map(|h| &h.value)
+    }
+
+    /// Copy a request whose body is whole.
+    #[must_use]
+    pub fn copy(&self) -> Option<Self> {
+        let GateBody::Whole(bytes) = &self.body else {
+            return None;
+        };
+        Some(Self {
+            caller: self.caller.clone(),
+            urgent: self.urgent,
+            priority: self.priority,
+            idempotent: self.idempotent,
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: self.headers.clone(),
+            deadline: self.deadline,
+            target: self.target,
+            token: self.token.clone(),
+            depth: self.depth,
+            retried: self.retried,
+            body: GateBody::Whole(bytes.clone()),
+        })
+    }
+}
+
 /// The body of a request.
 #[derive(Debug)]
 pub enum GateBody {
@@ -66,7 +104,9 @@
     Streamed {
         /// The head.
         head: AnswerHead,
-        /// The body.
+        /// The start of the body; may be empty.
+        first: Bytes,
+        /// The rest of the body.
         body: UpstreamBody,
     },
 }
--- a/crates/mustardtiller/src/gossip/mod.rs
+++ b/crates/mustardtiller/src/gossip/mod.rs
@@ -3,3 +3,4 @@
 mod socket;
 
 pub use socket::GossipSocket;
+pub use socket::RegistryHeard;
--- a/crates/mustardtiller/src/gossip/socket.rs
+++ b/crates/mustardtiller/src/gossip/socket.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_channel::bounded;
 use smol::net::UdpSocket;
 
 use crate::events::Event;
@@ -13,14 +16,46 @@
 use mustardtiller_wire::Advert;
 use mustardtiller_wire::Datagram;
 use mustardtiller_wire::MAX_DATAGRAM_BYTES;
+use mustardtiller_wire::RegistryNews;
 use mustardtiller_wire::decode_datagram;
 use mustardtiller_wire::encode_datagram;
 
+/// Messages that wait for a controller; more are dropped and repaired later.
+const MAX_WAITING: usize = 256;
+
+/// What a peer says of the registered upstreams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RegistryHeard {
+    /// It tells what it knows.
+    News(RegistryNews),
+    /// It asks for ours.
+    Asked,
+}
+
+/// What a peer says of its configuration: who, which version, and whether it asks.
+type AdvertHeard = (SocketAddr, Version, bool);
+
+/// A channel to one controller.
+#[derive(Debug)]
+struct Mailbox<T> {
+    tx: Sender<T>,
+    rx: Receiver<T>,
+}
+
+impl<T> Mailbox<T> {
+    fn new() -> Self {
+        let (tx, rx) = bounded(MAX_WAITING);
+        Self { tx, rx }
+    }
+}
+
 /// Sends and receives what daemons tell one another.
 #[derive(Debug)]
 pub struct GossipSocket {
     socket: UdpSocket,
     metrics: Arc<Metrics>,
+    adverts: Mailbox<AdvertHeard>,
+    registry: Mailbox<(SocketAddr, RegistryHeard)>,
 }
 
 impl GossipSocket {
@@ -31,7 +66,12 @@
     /// Returns the cause if the address is taken.
     pub async fn bind(address: SocketAddr, metrics: Arc<Metrics>) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(Self { socket, metrics })
+        Ok(Self {
+            socket,
+            metrics,
+            adverts: Mailbox::new(),
+            registry: Mailbox::new(),
+        })
     }
 
     /// Tell a peer which version is held. Loss is repaired by the next round.
@@ -46,15 +86,45 @@
             Datagram::Have { advert }
         };
         let bytes = encode_datagram(&datagram).expect("an advert fits a datagram");
-        if self.socket.send_to(&bytes, peer).await.is_ok() {
-            self.metrics.count(Counted::DatagramsSent);
-            self.metrics
-                .add(Counted::DatagramBytesSent, bytes.len() as u64);
-        }
+        self.send(peer, &bytes).await;
+    }
+
+    /// Tell a peer what is known of the registered upstreams.
+    ///
+    /// A change too large for a datagram is left out, and the peer fetches it.
+    pub async fn tell_registry(&self, peer: SocketAddr, news: &RegistryNews) {
+        let datagram = Datagram::Registry { news: news.clone() };
+        let bytes = encode_datagram(&datagram).unwrap_or_else(|_| {
+            let news = RegistryNews {
+                changed: Vec::new(),
+                removed: Vec::new(),
+                ..news.clone()
+            };
+            encode_datagram(&Datagram::Registry { news }).expect("digests fit a datagram")
+        });
+        self.send(peer, &bytes).await;
+    }
+
+    /// Ask a peer what it knows of the registered upstreams.
+    pub async fn ask_registry(&self, peer: SocketAddr) {
+        let bytes = encode_datagram(&Datagram::AskRegistry).expect("a question fits a datagram");
+        self.send(peer, &bytes).await;
+    }
+
+    /// Wait for what a peer says of its configuration.
+    pub async fn hear(&self) -> AdvertHeard {
+        let heard = self.adverts.rx.recv().await;
+        heard.expect("the socket holds the sender")
+    }
+
+    /// Wait for what a peer says of the registered upstreams.
+    pub async fn hear_registry(&self) -> (SocketAddr, RegistryHeard) {
+        let heard = self.registry.rx.recv().await;
+        heard.expect("the socket holds the sender")
     }
 
-    /// Wait for what a peer tells: who, which version, and whether it asks.
-    pub async fn hear(&self) -> (SocketAddr, Version, bool) {
+    /// Receive datagrams and hand them to the controllers.
+    pub async fn run(&self) {
         let mut buf = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
             // A refused datagram of ours is reported here; the next one is heard.
@@ -65,8 +135,7 @@
             self.metrics
                 .add(Counted::DatagramBytesReceived, count as u64);
             match decode_datagram(&buf[..count]) {
-                Ok(Datagram::Have { advert }) => return (peer, version(advert), false),
-                Ok(Datagram::Ask { advert }) => return (peer, version(advert), true),
+                Ok(datagram) => self.deliver(peer, datagram),
                 Err(e) => {
                     self.metrics.count(Counted::DatagramsMalformed);
                     Event::DatagramMalformed.log(format_args!("{peer}: {e}"));
@@ -74,11 +143,38 @@
             }
         }
     }
-}
 
-const fn version(advert: Advert) -> Version {
-    Version {
-        revision: advert.revision,
-        digest: Digest(advert.digest),
+    fn deliver(&self, peer: SocketAddr, datagram: Datagram) {
+        let delivered = match datagram {
+            Datagram::Have { advert } => self.deliver_advert(peer, advert, false),
+            Datagram::Ask { advert } => self.deliver_advert(peer, advert, true),
+            Datagram::Registry { news } => {
+                let heard = (peer, RegistryHeard::News(news));
+                self.registry.tx.try_send(heard).is_ok()
+            }
+            Datagram::AskRegistry => {
+                let heard = (peer, RegistryHeard::Asked);
+                self.registry.tx.try_send(heard).is_ok()
+            }
+        };
+        if !delivered {
+            self.metrics.count(Counted::DatagramsDropped);
+        }
+    }
+
+    fn deliver_advert(&self, peer: SocketAddr, advert: Advert, asks: bool) -> bool {
+        let version = Version {
+            revision: advert.revision,
+            digest: Digest(advert.digest),
+        };
+        self.adverts.tx.try_send((peer, version, asks)).is_ok()
+    }
+
+    async fn send(&self, peer: SocketAddr, bytes: &[u8]) {
+        if self.socket.send_to(bytes, peer).await.is_ok() {
+            self.metrics.count(Counted::DatagramsSent);
+            self.metrics
+                .add(Counted::DatagramBytesSent, bytes.len() as u64);
+        }
     }
 }
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -49,6 +49,15 @@
     credit: Arc<SendCredit>,
 }
 
+/// Until when a request on a link is wanted.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamLimits {
+    /// When it stops being wanted.
+    pub deadline: Deadline,
+    /// Until when an answer has its full worth.
+    pub target: Deadline,
+}
+
 /// An attempt that could not be put on the link.
 #[derive(Debug)]
 pub struct OpenError {
@@ -127,7 +136,7 @@
 
     /// Put a request on the link.
     ///
-    /// `deadline` is in our time; the frame carries it in the gate's time.
+    /// `limits` are in our time; the frame carries them in the gate's time.
     ///
     /// # Errors
     ///
@@ -136,16 +145,20 @@
         self: &Arc<Self>,
         unsent: Unsent,
         mut head: RequestHead,
-        deadline: Deadline,
+        limits: StreamLimits,
         now: Instant,
     ) -> Result<(Sent, ClientStream), OpenError> {
-        let Some(there) = self.offset.load().to_peer(deadline, now) else {
+        let offset = self.offset.load();
+        let there = offset.to_peer(limits.deadline, now);
+        let target = offset.to_peer(limits.target, now);
+        let (Some(there), Some(target)) = (there, target) else {
             return Err(OpenError {
                 unsent,
                 reason: NotRunReason::Unreachable,
             });
         };
         head.deadline_micros = there.instant().as_micros();
+        head.target_micros = target.instant().as_micros();
         // Only the gate can say of a token that it did not run.
         let bound = head.token.is_some();
         if !bound && self.going_away.load(Ordering::SeqCst) {
@@ -284,7 +297,7 @@
         link: &LinkHandle,
         reader: &mut SocketReader,
         signals: &Signals,
-        clock: &Clock,
+        clock: Clock,
         metrics: &Metrics,
     ) -> LinkEnd {
         loop {
@@ -318,7 +331,7 @@
         &mut self,
         frame: Frame,
         link: &LinkHandle,
-        clock: &Clock,
+        clock: Clock,
         metrics: &Metrics,
     ) -> Result<(), &'static str> {
         match frame {
@@ -366,7 +379,8 @@
             | Frame::DataCut { .. }
             | Frame::Cancel { .. }
             | Frame::Ping { .. }
-            | Frame::Fetch { .. } => Err("a gate sent an entry's frame"),
+            | Frame::Fetch { .. }
+            | Frame::FetchRegistry { .. } => Err("a gate sent an entry's frame"),
         }
     }
 
--- a/crates/mustardtiller/src/link/fetch.rs
+++ b/crates/mustardtiller/src/link/fetch.rs
@@ -10,6 +10,7 @@
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Digest;
 use mustardtiller_wire::Frame;
+use mustardtiller_wire::RegistryForm;
 use mustardtiller_wire::encode_frame;
 
 /// Fetch values from a peer over a connection of its own.
@@ -27,6 +28,27 @@
     values
 }
 
+/// Fetch the registered upstreams from a peer; `None` if it can't be had.
+pub async fn fetch_registry(
+    node: &Node,
+    peer: SocketAddr,
+    deadline: Deadline,
+) -> Option<RegistryForm> {
+    let fetching = async {
+        let mut socket = TcpStream::connect(peer).await.ok()?;
+        let opened = handshake::open(&node.board, node.clock, socket.clone(), "").await;
+        let (mut reader, _, _) = opened.ok()?;
+        let mut buf = Vec::new();
+        encode_frame(&Frame::FetchRegistry { stream: 1 }, &mut buf).expect("a fetch fits a frame");
+        socket.write_all(&buf).await.ok()?;
+        match reader.next().await.ok()? {
+            Frame::Value { bytes, .. } => postcard::from_bytes(&bytes?).ok(),
+            _ => None,
+        }
+    };
+    node.clock.within(deadline, fetching).await.flatten()
+}
+
 async fn fetch_each(
     node: &Node,
     peer: SocketAddr,
@@ -34,7 +56,7 @@
     values: &mut [Option<Vec<u8>>],
 ) -> Option<()> {
     let mut socket = TcpStream::connect(peer).await.ok()?;
-    let opened = handshake::open(&node.board, &node.clock, socket.clone(), "").await;
+    let opened = handshake::open(&node.board, node.clock, socket.clone(), "").await;
     let (mut reader, _, _) = opened.ok()?;
     for (index, digest) in digests.iter().enumerate() {
         let stream = index as u32 + 1;
--- a/crates/mustardtiller/src/link/handshake.rs
+++ b/crates/mustardtiller/src/link/handshake.rs
@@ -56,7 +56,7 @@
 /// Open a link: say hello and take the welcome.
 pub async fn open(
     board: &Board,
-    clock: &Clock,
+    clock: Clock,
     socket: TcpStream,
     upstream: &str,
 ) -> Result<(SocketReader, Welcome, ClockSample), HandshakeError> {
@@ -93,7 +93,7 @@
 /// Accept a link: take the hello and say welcome.
 pub async fn accept(
     board: &Board,
-    clock: &Clock,
+    clock: Clock,
     socket: TcpStream,
 ) -> Result<SocketReader, HandshakeError> {
     let mut reader = SocketReader::new(socket.clone());
--- a/crates/mustardtiller/src/link/incoming.rs
+++ b/crates/mustardtiller/src/link/incoming.rs
@@ -39,10 +39,13 @@
     GateRequest {
         caller: head.caller,
         urgent: head.urgent,
+        priority: head.priority,
+        idempotent: head.idempotent,
         method: head.method,
         uri: head.uri,
         headers: head.headers,
         deadline: Deadline::at(Instant::from_micros(head.deadline_micros)),
+        target: Deadline::at(Instant::from_micros(head.target_micros)),
         token: head.token.as_ref().map(Token::from),
         depth: head.depth,
         retried: head.retried,
--- a/crates/mustardtiller/src/link/keeper.rs
+++ b/crates/mustardtiller/src/link/keeper.rs
@@ -56,13 +56,17 @@
     candidate: &Candidate,
 ) -> Result<(Arc<LinkHandle>, LinkTable, SocketReader), HandshakeError> {
     let deadline = Deadline::in_millis(node.clock.now(), CONNECT_MS);
-    let name = candidate.upstream.name.as_str();
+    // A registered upstream's daemon has a name of its own; each request names the upstream.
+    let name = match node.settings.discovery {
+        None => candidate.upstream.name.as_str(),
+        Some(_) => "",
+    };
     let connecting = async {
         let socket = TcpStream::connect(candidate.upstream.link).await;
         let socket = socket.map_err(|source| HandshakeError::Connect { source })?;
         let prepared = socket.set_nodelay(true);
         prepared.map_err(|source| HandshakeError::Connect { source })?;
-        let opened = handshake::open(&node.board, &node.clock, socket.clone(), name).await?;
+        let opened = handshake::open(&node.board, node.clock, socket.clone(), name).await?;
         Ok((socket, opened))
     };
     let connected = node.clock.within(deadline, connecting).await;
@@ -90,7 +94,7 @@
             &link,
             &mut reader,
             &candidate.signals,
-            &node.clock,
+            node.clock,
             &node.metrics,
         )
         .await;
--- a/crates/mustardtiller/src/link/mod.rs
+++ b/crates/mustardtiller/src/link/mod.rs
@@ -15,6 +15,8 @@
 mod stream;
 
 pub use client::LinkHandle;
+pub use client::StreamLimits;
+pub use fetch::fetch_registry;
 pub use fetch::fetch_values;
 pub use keeper::keep_link;
 pub use server::serve_links;
--- a/crates/mustardtiller/src/link/responder.rs
+++ b/crates/mustardtiller/src/link/responder.rs
@@ -63,8 +63,15 @@
                 let sent = self.send(bytes).await;
                 self.end(end_frame(self.stream, sent));
             }
-            GateAnswer::Streamed { head, mut body } => {
+            GateAnswer::Streamed {
+                head,
+                first,
+                mut body,
+            } => {
                 self.begin(head);
+                if !self.send(first).await {
+                    return self.end(end_frame(self.stream, false));
+                }
                 loop {
                     match body.next().await {
                         Some(Ok(bytes)) => {
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -32,6 +32,7 @@
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Verdict;
 use mustardtiller_wire::Frame;
+use mustardtiller_wire::RegistryForm;
 use mustardtiller_wire::RequestHead;
 
 /// Streams that a peer may have open on one link.
@@ -68,7 +69,7 @@
 async fn serve_link(node: Arc<Node>, socket: TcpStream) {
     let _ = socket.set_nodelay(true);
     let deadline = Deadline::in_millis(node.clock.now(), HELLO_MS);
-    let accepting = handshake::accept(&node.board, &node.clock, socket.clone());
+    let accepting = handshake::accept(&node.board, node.clock, socket.clone());
     let reader = match node.clock.within(deadline, accepting).await {
         Some(Ok(reader)) => reader,
         Some(Err(e)) => {
@@ -220,6 +221,11 @@
                 let _ = self.outlet.send(Frame::Value { stream, bytes });
                 Ok(())
             }
+            Frame::FetchRegistry { stream } => {
+                let bytes = Some(self.registry());
+                let _ = self.outlet.send(Frame::Value { stream, bytes });
+                Ok(())
+            }
             Frame::Hello(_)
             | Frame::Welcome(_)
             | Frame::Admitted { .. }
@@ -242,7 +248,7 @@
             self.refuse(stream, NotRunReason::LinkFull);
             return Ok(());
         }
-        if head.upstream != self.node.board.identity.upstream.as_str() {
+        if !self.node.serves(&head.upstream) {
             self.refuse(stream, NotRunReason::WrongUpstream);
             return Ok(());
         }
@@ -306,6 +312,19 @@
         }
     }
 
+    /// Return the registered upstreams as they travel.
+    fn registry(&self) -> Bytes {
+        let registry = self.node.board.registry.read();
+        let form = RegistryForm {
+            entries: registry
+                .entries()
+                .map(|entry| entry.as_ref().into())
+                .collect(),
+        };
+        let bytes = postcard::to_allocvec(&form).expect("a registry can be encoded");
+        Bytes::from(bytes)
+    }
+
     fn value(&self, digest: Digest) -> Option<Bytes> {
         let artefact = self.node.board.artefact.share();
         let artefact = artefact.as_ref().as_ref()?;
--- a/crates/mustardtiller/src/link/slot.rs
+++ b/crates/mustardtiller/src/link/slot.rs
@@ -45,7 +45,7 @@
     }
 
     /// Wait for a link until a deadline.
-    pub async fn wait(&self, clock: &Clock, deadline: Deadline) -> Option<Arc<LinkHandle>> {
+    pub async fn wait(&self, clock: Clock, deadline: Deadline) -> Option<Arc<LinkHandle>> {
         let up = async {
             loop {
                 let changed = self.changed.listen();
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -64,6 +64,7 @@
     "Frames that made no sense" FramesMalformed = "frames_malformed",
     "Handshakes refused" HandshakesRefused = "handshakes_refused",
     "Datagrams that made no sense" DatagramsMalformed = "datagrams_malformed",
+    "Datagrams dropped because a controller was behind" DatagramsDropped = "datagrams_dropped",
     "Datagrams sent" DatagramsSent = "datagrams_sent",
     "Datagrams received" DatagramsReceived = "datagrams_received",
     "Bytes of datagrams sent" DatagramBytesSent = "datagram_bytes_sent",
--- a/crates/mustardtiller/src/platform/http.rs
+++ b/crates/mustardtiller/src/published/http.rs
@@ -13,10 +13,11 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use super::source::PlatformError;
-use super::source::PlatformSource;
-use super::source::PlatformValue;
+use super::source::PublishedError;
+use super::source::PublishedSource;
+use super::source::PublishedValue;
 use super::source::Reading;
+use super::source::Registrations;
 use crate::clock::Clock;
 use mustardtiller_config::MAX_VALUE_BYTES;
 use mustardtiller_core::Deadline;
@@ -34,12 +35,12 @@
 /// `ETag`; `?wait_ms=N` with `If-None-Match` waits for a change and answers
 /// 304 if none came. `GET /hosts` gives the host list.
 #[derive(Clone, Copy, Debug)]
-pub struct HttpPlatform {
+pub struct HttpPublished {
     address: SocketAddr,
     clock: Clock,
 }
 
-impl HttpPlatform {
+impl HttpPublished {
     /// Read the platform at `address`.
     #[must_use]
     pub const fn new(address: SocketAddr, clock: Clock) -> Self {
@@ -51,7 +52,7 @@
         path: &str,
         tag: Option<&str>,
         wait_ms: u64,
-    ) -> Result<Option<PlatformValue>, PlatformError> {
+    ) -> Result<Option<PublishedValue>, PublishedError> {
         let deadline = Deadline::in_millis(self.clock.now(), CALL_MS + wait_ms);
         let calling = self.call(path, tag);
         let called = self.clock.within(deadline, calling).await;
@@ -62,7 +63,7 @@
         &self,
         path: &str,
         tag: Option<&str>,
-    ) -> Result<Option<PlatformValue>, PlatformError> {
+    ) -> Result<Option<PublishedValue>, PublishedError> {
         let socket = TcpStream::connect(self.address)
             .await
             .map_err(|e| call_error(&e))?;
@@ -90,16 +91,16 @@
         smol::future::or(answering, driving).await
     }
 
-    async fn value(&self, path: &str) -> Result<Vec<u8>, PlatformError> {
+    async fn value(&self, path: &str) -> Result<Vec<u8>, PublishedError> {
         let value = self.get(path, None, 0).await?;
         value
             .map(|value| value.bytes)
-            .ok_or(PlatformError::Status { status: 304 })
+            .ok_or(PublishedError::Status { status: 304 })
     }
 }
 
-impl PlatformSource for HttpPlatform {
-    fn manifest(&self, held: Option<&str>) -> Reading<'_, Option<PlatformValue>> {
+impl PublishedSource for HttpPublished {
+    fn manifest(&self, held: Option<&str>) -> Reading<'_, Option<PublishedValue>> {
         let held = held.map(str::to_owned);
         Box::pin(async move {
             match held {
@@ -119,9 +120,19 @@
     fn hosts(&self) -> Reading<'_, Vec<u8>> {
         Box::pin(self.value("/hosts"))
     }
+
+    fn registrations(&self) -> Reading<'_, Registrations> {
+        Box::pin(async {
+            Err(PublishedError::Absent {
+                what: "registrations",
+            })
+        })
+    }
 }
 
-async fn read_value(response: Response<Incoming>) -> Result<Option<PlatformValue>, PlatformError> {
+async fn read_value(
+    response: Response<Incoming>,
+) -> Result<Option<PublishedValue>, PublishedError> {
     let status = response.status().as_u16();
     let tag = response
         .headers()
@@ -132,21 +143,21 @@
         200 => {
             let body = Limited::new(response.into_body(), MAX_VALUE_BYTES);
             let body = body.collect().await;
-            let body = body.map_err(|_| PlatformError::TooLarge {
+            let body = body.map_err(|_| PublishedError::TooLarge {
                 limit: MAX_VALUE_BYTES,
             })?;
-            Ok(Some(PlatformValue {
+            Ok(Some(PublishedValue {
                 bytes: body.to_bytes().to_vec(),
                 tag,
             }))
         }
         304 => Ok(None),
-        _ => Err(PlatformError::Status { status }),
+        _ => Err(PublishedError::Status { status }),
     }
 }
 
-fn call_error(cause: &impl ToString) -> PlatformError {
-    PlatformError::Call {
+fn call_error(cause: &impl ToString) -> PublishedError {
+    PublishedError::Call {
         cause: cause.to_string(),
     }
 }
--- a/crates/mustardtiller/src/platform/source.rs
+++ b/crates/mustardtiller/src/published/source.rs
@@ -6,17 +6,30 @@
 use snafu::Snafu;
 
 use mustardtiller_core::Digest;
+use mustardtiller_core::Registration;
 
 /// Why the platform could not be read.
 #[derive(Debug)]
 #[derive(Snafu)]
-pub enum PlatformError {
+pub enum PublishedError {
     /// The call failed or took too long.
     #[snafu(display("{cause}"))]
     Call {
         /// The cause.
         cause: String,
     },
+    /// This source has no such thing.
+    #[snafu(display("this source has no {what}"))]
+    Absent {
+        /// What was read.
+        what: &'static str,
+    },
+    /// A value makes no sense.
+    #[snafu(display("{cause}"))]
+    Malformed {
+        /// The cause.
+        cause: String,
+    },
     /// The platform answered with another status than 200 or 304.
     #[snafu(display("status {status}"))]
     Status {
@@ -33,26 +46,38 @@
 
 /// A value and the tag by which to wait for another.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PlatformValue {
+pub struct PublishedValue {
     /// The value.
     pub bytes: Vec<u8>,
     /// The platform's tag of it.
     pub tag: String,
 }
 
+/// The upstreams that are registered.
+#[derive(Clone, Debug, Default)]
+pub struct Registrations {
+    /// The entries that make sense.
+    pub entries: Vec<Registration>,
+    /// The entries that don't, each with its name and what is wrong.
+    pub malformed: Vec<String>,
+}
+
 /// A pending read.
-pub type Reading<'a, T> = Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
+pub type Reading<'a, T> = Pin<Box<dyn Future<Output = Result<T, PublishedError>> + Send + 'a>>;
 
 /// What the platform gives, at the edge of the process. Each call counts.
-pub trait PlatformSource: Send + Sync + fmt::Debug {
+pub trait PublishedSource: Send + Sync + fmt::Debug {
     /// Read the manifest.
     ///
     /// With the tag of the value held, wait there for another; `None` if none came.
-    fn manifest(&self, held: Option<&str>) -> Reading<'_, Option<PlatformValue>>;
+    fn manifest(&self, held: Option<&str>) -> Reading<'_, Option<PublishedValue>>;
 
     /// Read a part.
     fn part(&self, digest: Digest) -> Reading<'_, Vec<u8>>;
 
     /// Read the host list.
     fn hosts(&self) -> Reading<'_, Vec<u8>>;
+
+    /// Read the upstreams that registered themselves.
+    fn registrations(&self) -> Reading<'_, Registrations>;
 }
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -10,7 +10,9 @@
 use mustardtiller_config::Section;
 use mustardtiller_config::Source;
 use mustardtiller_core::PlaceName;
+use mustardtiller_core::ServiceName;
 use mustardtiller_core::SpreadRule;
+use mustardtiller_core::TurnRule;
 use mustardtiller_core::UpstreamName;
 
 /// Words for log levels.
@@ -21,9 +23,49 @@
     ("debug", LevelFilter::Debug),
 ];
 
+/// Words for what the platform is.
+const PLATFORM_KINDS: &[(&str, PlatformKind)] = &[
+    ("artefacts", PlatformKind::Artefacts),
+    ("store", PlatformKind::Store),
+];
+
 /// Longest time that a setting may state, in milliseconds.
 const MAX_MILLIS: u64 = 3_600_000;
 
+/// What the platform's service is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlatformKind {
+    /// It holds artefacts as `mustardtiller build` writes them, and a host list.
+    Artefacts,
+    /// It is a metadata store with a document and registrations.
+    Store,
+}
+
+/// How upstreams are found that register themselves with the platform.
+#[derive(Clone, Debug)]
+pub struct DiscoverySettings {
+    /// Where the upstream beside this daemon takes HTTP.
+    pub upstream: SocketAddr,
+    /// The service of that upstream.
+    pub service: ServiceName,
+    /// When daemons of one place read for each other.
+    pub turn: TurnRule,
+}
+
+/// Retries that the whole fleet may make of one service in a sliding window.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBounds {
+    /// Retries for each first attempt, in percent; `None` for the service's own figure.
+    pub percent: Option<u32>,
+    /// Retries beyond that share, for the fleet together.
+    pub spare: u32,
+    /// The window, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// All of a whole, in percent.
+const MAX_PERCENT: u64 = 100;
+
 /// The settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -37,8 +79,18 @@
     pub link: SocketAddr,
     /// Where metrics are read.
     pub metrics: Option<SocketAddr>,
+    /// Where the platform asks whether callers may come.
+    pub ready: Option<SocketAddr>,
+    /// Who all calls to this entry come from; `None` for what each call says.
+    pub caller: Option<String>,
+    /// How upstreams are found that register themselves; `None` where operators name them.
+    pub discovery: Option<DiscoverySettings>,
+    /// Retries that the whole fleet may make.
+    pub retries: RetryBounds,
     /// The platform's service.
     pub platform: SocketAddr,
+    /// What that service is.
+    pub platform_kind: PlatformKind,
     /// Peers asked before the host list is known.
     pub seeds: Vec<SocketAddr>,
     /// Services whose links are made before their first request.
@@ -110,7 +162,10 @@
         let platform = section(source, document, "platform");
         let limits = section(source, document, "limits");
         let spread = section(source, document, "spread");
-        let platform = read_platform(&platform, faults);
+        let discovery = document.sections.iter().find(|s| s.kind == "discovery");
+        let discovery = discovery.map(|section| read_discovery(section, faults));
+        let retries = read_retries(&section(source, document, "retries"), faults);
+        let (platform, platform_kind) = read_platform(&platform, faults);
         let (spread, hosts_ms) = read_spread(&spread, faults);
         let limits = Limits::read(&limits, faults);
         let mut fields = Fields::new(&daemon, faults);
@@ -119,6 +174,8 @@
         let entry = fields.address("entry");
         let link = fields.address("link");
         let metrics = fields.address_opt("metrics");
+        let ready = fields.address_opt("ready");
+        let caller = fields.text_opt("caller").map(str::to_owned);
         let seeds = read_seeds(&mut fields);
         let calls = fields.words("calls");
         let threads = fields.number_or("threads", 2, 1..=64);
@@ -132,7 +189,15 @@
             entry: entry?,
             link: link?,
             metrics,
+            ready,
+            caller,
+            discovery: match discovery {
+                Some(discovery) => Some(discovery?),
+                None => None,
+            },
+            retries,
             platform: platform?,
+            platform_kind,
             seeds,
             calls,
             threads,
@@ -183,11 +248,12 @@
     }
 }
 
-fn read_platform(section: &Section, faults: &mut Vec<Fault>) -> Option<SocketAddr> {
+fn read_platform(section: &Section, faults: &mut Vec<Fault>) -> (Option<SocketAddr>, PlatformKind) {
     let mut fields = Fields::new(section, faults);
     let address = fields.address("address");
+    let kind = fields.choice_or("kind", PlatformKind::Artefacts, PLATFORM_KINDS);
     fields.finish();
-    address
+    (address, kind)
 }
 
 fn read_spread(section: &Section, faults: &mut Vec<Fault>) -> (SpreadRule, u64) {
@@ -209,6 +275,39 @@
     (rule, hosts_ms)
 }
 
+fn read_discovery(section: &Section, faults: &mut Vec<Fault>) -> Option<DiscoverySettings> {
+    let default = TurnRule::default();
+    let mut fields = Fields::new(section, faults);
+    let upstream = fields.address("upstream");
+    let service = fields.name("service", "service");
+    let turn = TurnRule {
+        read_ms: fields.number_or("read_ms", default.read_ms, 20..=MAX_MILLIS),
+        step_ms: fields.number_or("step_ms", default.step_ms, 10..=MAX_MILLIS),
+        retry_ms: fields.number_or("retry_ms", default.retry_ms, 10..=MAX_MILLIS),
+        max_retry_ms: fields.number_or("max_retry_ms", default.max_retry_ms, 10..=MAX_MILLIS),
+        lapse_ms: fields.number_or("lapse_ms", default.lapse_ms, 0..=MAX_MILLIS),
+        ..default
+    };
+    fields.finish();
+    Some(DiscoverySettings {
+        upstream: upstream?,
+        service: service?.as_str().into(),
+        turn,
+    })
+}
+
+fn read_retries(section: &Section, faults: &mut Vec<Fault>) -> RetryBounds {
+    let mut fields = Fields::new(section, faults);
+    let percent = fields.number_or("percent", MAX_PERCENT + 1, 0..=MAX_PERCENT);
+    let retries = RetryBounds {
+        percent: (percent <= MAX_PERCENT).then_some(percent as u32),
+        spare: fields.number_or("spare", 10, 0..=1_000_000) as u32,
+        window_ms: fields.number_or("window_ms", 10_000, 100..=MAX_MILLIS),
+    };
+    fields.finish();
+    retries
+}
+
 fn read_seeds(fields: &mut Fields<'_>) -> Vec<SocketAddr> {
     let words = fields.words("seeds");
     let mut seeds = Vec::new();
@@ -226,7 +325,14 @@
 }
 
 fn check_sections(document: &Document, faults: &mut Vec<Fault>) {
-    let known = ["daemon", "platform", "limits", "spread"];
+    let known = [
+        "daemon",
+        "platform",
+        "limits",
+        "spread",
+        "discovery",
+        "retries",
+    ];
     for (index, section) in document.sections.iter().enumerate() {
         if !known.contains(&section.kind.as_str()) || !section.name.is_empty() {
             let wrong = format!("`[{}]` is no section of the settings", section.heading());
--- a/crates/mustardtiller/src/settings/mod.rs
+++ b/crates/mustardtiller/src/settings/mod.rs
@@ -2,4 +2,6 @@
 
 mod daemon;
 
+pub use daemon::DiscoverySettings;
+pub use daemon::PlatformKind;
 pub use daemon::Settings;
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -1,5 +1,6 @@
 //! One request to the upstream and its answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -18,7 +19,8 @@
 
 use super::body::RequestBody;
 use super::body::UpstreamBody;
-use super::headers::DEADLINE_HEADER;
+use super::check::AnswerCheck;
+use super::check::check_answer;
 use super::headers::DEPTH_HEADER;
 use super::headers::RETRIED_HEADER;
 use super::headers::STATE_HEADER;
@@ -29,17 +31,19 @@
 use crate::gate::GateAnswer;
 use crate::gate::GateRequest;
 use crate::gate::Permit;
+use crate::http::DeadlineForm;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::Sent;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::Unsent;
+use mustardtiller_core::Verdict;
 use mustardtiller_wire::AnswerHead;
 use mustardtiller_wire::Header;
 
 /// Answers up to this size are read whole before they are passed on, in bytes.
-const WHOLE_BYTES: u64 = 16 * 1024;
+const WHOLE_BYTES: u64 = 64 * 1024;
 
 /// Statuses by which an upstream says that it sheds load.
 const SHED_STATUSES: &[u16] = &[429, 503];
@@ -59,31 +63,46 @@
     let deadline = req.deadline;
     let began = node.clock.now();
     let head_only = req.method == "HEAD";
+    let request_id = req.header(node.dialect.request_id).cloned();
     let cut = Arc::new(AtomicBool::new(false));
-    let pooled = req.token.is_none() && is_safe(&req.method);
-    let http = match http_request(node, req, &cut) {
-        Ok(http) => http,
-        Err(reason) => return GateAnswer::refused(unsent.refuse(reason)),
-    };
-    let sending = send(node, unsent, http, deadline, pooled);
-    let (sent, answered) = match sending.await {
+    let (sent, answered) = match send(node, unsent, req, &cut).await {
         Ok(sent) => sent,
         Err(refusal) => return GateAnswer::refused(refusal),
     };
     let Some((sender, answered)) = answered else {
+        node.board.local_doubt.notify(1);
         return GateAnswer::refused(sent.unknown(UnknownReason::DeadlinePassed));
     };
     let Ok(response) = answered else {
         let reason = if cut.load(Ordering::SeqCst) {
             UnknownReason::BodyCut
         } else {
+            node.board.local_doubt.notify(1);
             UnknownReason::AnswerCut
         };
         return GateAnswer::refused(sent.unknown(reason));
     };
     note_state(node, response.headers());
     let head = answer_head(&response, head_only);
-    let shed = SHED_STATUSES.contains(&head.status);
+    if SHED_STATUSES.contains(&head.status) {
+        node.board.gate.completed(0, true);
+    }
+    let id = request_id.as_deref();
+    let check = check_answer(&node.dialect, id, head.status, response.headers());
+    let verdict = match check {
+        AnswerCheck::Own => None,
+        AnswerCheck::NotRun(reason) => {
+            if reason == NotRunReason::WrongUpstream {
+                node.board.local_doubt.notify(1);
+            }
+            Some(Verdict::NotRun(reason))
+        }
+        AnswerCheck::Foreign => Some(Verdict::Unknown(UnknownReason::BadAnswer)),
+    };
+    if let Some(verdict) = verdict {
+        // The connection is dropped: what follows on it may belong to nobody.
+        return GateAnswer::refused(sent.verdict(verdict));
+    }
     let body = UpstreamBody {
         node: Arc::clone(node),
         incoming: response.into_body(),
@@ -92,29 +111,39 @@
         began,
         permit: Some(permit),
     };
-    if shed {
-        node.board.gate.completed(0, true);
-    }
     match body.incoming.size_hint().exact() {
-        Some(length) if length <= WHOLE_BYTES => whole(sent, head, body).await,
-        _ => GateAnswer::Streamed { head, body },
+        Some(length) if length > WHOLE_BYTES => GateAnswer::Streamed {
+            head,
+            first: Bytes::new(),
+            body,
+        },
+        _ => whole(sent, head, body).await,
     }
 }
 
 type Answered = Option<(SendRequest<RequestBody>, Result<Response<Incoming>, ()>)>;
 
 /// Send on an idle connection, or a new one if that proves to be closed.
+///
+/// An idempotent request whose idle connection fails goes once more on a new
+/// one: upstreams forget idle connections without notice.
 async fn send(
     node: &Arc<Node>,
     mut unsent: Unsent,
-    mut http: Request<RequestBody>,
-    deadline: Deadline,
-    mut pooled: bool,
+    req: GateRequest,
+    cut: &Arc<AtomicBool>,
 ) -> Result<(Sent, Answered), Refusal> {
-    let address = node.own_upstream().map(|upstream| upstream.address);
-    let Some(address) = address else {
+    let deadline = req.deadline;
+    let Some(upstream) = node.own_upstream() else {
         return Err(unsent.refuse(NotRunReason::NoConfiguration).into());
     };
+    let mut pooled = req.token.is_none() && req.idempotent;
+    let mut copy = if pooled { req.copy() } else { None };
+    let expected = upstream.name.as_str();
+    let mut http = match http_request(node, req, expected, cut) {
+        Ok(http) => http,
+        Err(reason) => return Err(unsent.refuse(reason).into()),
+    };
     loop {
         let idle = if pooled {
             node.pool.take(node.clock.now())
@@ -124,9 +153,12 @@
         pooled = idle.is_some();
         let mut sender = match idle {
             Some(sender) => sender,
-            None => match connect(node, address, deadline).await {
+            None => match connect(node, upstream.address, deadline).await {
                 Ok(sender) => sender,
-                Err(_) => return Err(unsent.refuse(NotRunReason::UpstreamDown).into()),
+                Err(_) => {
+                    node.board.local_doubt.notify(1);
+                    return Err(unsent.refuse(NotRunReason::UpstreamDown).into());
+                }
             },
         };
         if deadline.has_passed(node.clock.now()) {
@@ -140,22 +172,46 @@
         match answer {
             None => return Ok((sent, None)),
             Some(Ok(response)) => return Ok((sent, Some((sender, Ok(response))))),
-            Some(Err(mut e)) => match e.take_message() {
+            Some(Err(mut e)) => match (e.take_message(), copy.take()) {
                 // The library gives the request back only if no byte of it left.
-                Some(message) => {
+                (Some(message), kept) => {
                     let (again, message) = sent.unsent(message);
                     if !pooled {
                         return Err(again.refuse(NotRunReason::UpstreamDown).into());
                     }
                     unsent = again;
                     http = message;
+                    copy = kept;
                 }
-                None => return Ok((sent, Some((sender, Err(()))))),
+                (None, Some(kept)) if pooled => {
+                    let Ok(again) = http_request(node, kept, expected, cut) else {
+                        return Ok((sent, Some((sender, Err(())))));
+                    };
+                    http = again;
+                    return send_again(node, sent, http, upstream.address, deadline).await;
+                }
+                (None, _) => return Ok((sent, Some((sender, Err(()))))),
             },
         }
     }
 }
 
+/// Send an idempotent request once more, on a new connection.
+async fn send_again(
+    node: &Arc<Node>,
+    sent: Sent,
+    http: Request<RequestBody>,
+    address: SocketAddr,
+    deadline: Deadline,
+) -> Result<(Sent, Answered), Refusal> {
+    let Ok(mut sender) = connect(node, address, deadline).await else {
+        return Err(sent.unknown(UnknownReason::AnswerCut));
+    };
+    let sending = sender.try_send_request(http);
+    let answer = node.clock.within(deadline, sending).await;
+    Ok((sent, answer.map(|answer| (sender, answer.map_err(|_| ())))))
+}
+
 /// Read a short answer whole, so that a cut in it can still be told as one.
 async fn whole(sent: Sent, head: AnswerHead, mut body: UpstreamBody) -> GateAnswer {
     let mut bytes = Vec::new();
@@ -170,30 +226,44 @@
                 };
             }
         }
+        if bytes.len() as u64 > WHOLE_BYTES {
+            return GateAnswer::Streamed {
+                head,
+                first: Bytes::from(bytes),
+                body,
+            };
+        }
     }
 }
 
-fn is_safe(method: &str) -> bool {
-    matches!(method, "GET" | "HEAD" | "OPTIONS")
-}
-
 fn http_request(
     node: &Node,
     req: GateRequest,
+    expected: &str,
     cut: &Arc<AtomicBool>,
 ) -> Result<Request<RequestBody>, NotRunReason> {
+    let dialect = &node.dialect;
     let remaining = req.deadline.remaining(node.clock.now()).as_millis() as u64;
-    let unix = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let deadline_ms = unix.as_millis() as u64 + remaining;
+    let deadline_ms = match dialect.deadline_form {
+        DeadlineForm::LeftMs => remaining,
+        DeadlineForm::UnixMs => {
+            let unix = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            unix.as_millis() as u64 + remaining
+        }
+    };
     let mut builder = Request::builder()
         .method(req.method.as_str())
         .uri(req.uri.as_str())
-        .header(DEADLINE_HEADER, deadline_ms)
-        .header(DEPTH_HEADER, u64::from(req.depth) + 1);
-    if req.retried {
-        builder = builder.header(RETRIED_HEADER, "yes");
+        .header(dialect.deadline, deadline_ms)
+        .header(dialect.caller, req.caller.as_str())
+        .header(dialect.expect_upstream, expected);
+    if dialect.tells_depth {
+        builder = builder.header(DEPTH_HEADER, u64::from(req.depth) + 1);
+        if req.retried {
+            builder = builder.header(RETRIED_HEADER, "yes");
+        }
     }
     for header in &req.headers {
         builder = builder.header(header.name.as_str(), header.value.as_ref());
@@ -210,6 +280,11 @@
     {
         node.note_leaving(true, "an answer says so");
     }
+    let load = headers.get(node.dialect.load);
+    let load = load.and_then(|load| load.to_str().ok());
+    if let Some(load) = load.and_then(node.dialect.read_load) {
+        node.board.gate.set_work_percent(load.work_percent);
+    }
 }
 
 fn answer_head(response: &Response<Incoming>, head_only: bool) -> AnswerHead {
--- a/crates/mustardtiller/src/upstream/headers.rs
+++ b/crates/mustardtiller/src/upstream/headers.rs
@@ -1,8 +1,5 @@
 //! Headers between daemon and upstream.
 
-/// The absolute deadline, in milliseconds of Unix time on this host.
-pub const DEADLINE_HEADER: &str = "mustardtiller-deadline";
-
 /// How deep in a tree of calls the request is.
 pub const DEPTH_HEADER: &str = "mustardtiller-depth";
 
--- a/crates/mustardtiller/src/upstream/mod.rs
+++ b/crates/mustardtiller/src/upstream/mod.rs
@@ -1,18 +1,21 @@
 //! HTTP to the upstream beside this daemon.
 
 mod body;
+mod check;
 mod exchange;
 mod headers;
 mod measure;
 mod pool;
+mod probe;
 
 pub use body::UpstreamBody;
 pub use exchange::end_to_end;
 pub use exchange::exchange;
-pub use headers::DEADLINE_HEADER;
 pub use headers::DEPTH_HEADER;
 pub use headers::RETRIED_HEADER;
 pub use measure::Measured;
 pub use measure::UpstreamState;
 pub use measure::measure;
 pub use pool::UpstreamPool;
+pub use probe::Probed;
+pub use probe::probe;
--- /dev/null
+++ b/crates/mustardtiller/src/upstream/probe.rs
@@ -0,0 +1,84 @@
+//! One question to the upstream beside this daemon: who it is, and its load.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::header::HOST;
+
+use super::body::RequestBody;
+use super::pool::connect;
+use crate::daemon::Node;
+use crate::gate::GateBody;
+use crate::http::UpstreamLoad;
+use crate::settings::DiscoverySettings;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::UpstreamName;
+
+/// Time for a probe, in milliseconds; the health path answers without a slot.
+const PROBE_MS: u64 = 400;
+
+/// Health path while no configuration tells another.
+const FIRST_HEALTH_PATH: &str = "/health";
+
+/// What an upstream says of itself.
+///
+/// Whether it calls itself healthy is left out: that may be false either way,
+/// and its answers to requests tell better.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Probed {
+    /// Its name.
+    pub name: UpstreamName,
+    /// Its load, if it tells one.
+    pub load: Option<UpstreamLoad>,
+}
+
+/// Ask the upstream who it is.
+///
+/// # Errors
+///
+/// Returns the cause as text.
+pub async fn probe(node: &Arc<Node>, discovery: &DiscoverySettings) -> Result<Probed, String> {
+    let deadline = Deadline::in_millis(node.clock.now(), PROBE_MS);
+    let probing = ask(node, discovery, deadline);
+    let probed = node.clock.within(deadline, probing).await;
+    probed.unwrap_or_else(|| Err("no answer in time".to_owned()))
+}
+
+async fn ask(
+    node: &Arc<Node>,
+    discovery: &DiscoverySettings,
+    deadline: Deadline,
+) -> Result<Probed, String> {
+    let mut sender = connect(node, discovery.upstream, deadline).await?;
+    let body = RequestBody::new(
+        GateBody::Whole(Bytes::new()),
+        Arc::new(AtomicBool::new(false)),
+    );
+    let request = Request::get(health_path(node, discovery))
+        .header(HOST, discovery.upstream.to_string())
+        .body(body)
+        .map_err(|e| e.to_string())?;
+    let response = sender.send_request(request).await;
+    let response = response.map_err(|e| e.to_string())?;
+    let text = |name| response.headers().get(name)?.to_str().ok();
+    let name = text(node.dialect.upstream).ok_or("the answer names no upstream")?;
+    let load = text(node.dialect.load).and_then(node.dialect.read_load);
+    Ok(Probed {
+        name: name.into(),
+        load,
+    })
+}
+
+fn health_path(node: &Node, discovery: &DiscoverySettings) -> String {
+    let configuration = node.board.configuration.read();
+    let service = configuration
+        .as_ref()
+        .as_ref()
+        .and_then(|configuration| configuration.service(&discovery.service));
+    service.map_or_else(
+        || FIRST_HEALTH_PATH.to_owned(),
+        |service| service.health_path.to_string(),
+    )
+}
--- a/crates/mustardtillerd/src/main.rs
+++ b/crates/mustardtillerd/src/main.rs
@@ -11,11 +11,17 @@
 use clap::Command;
 use smol::stream::StreamExt;
 
+use mustardtiller::Clock;
 use mustardtiller::Daemon;
 use mustardtiller::Phase;
+use mustardtiller::PlatformKind;
 use mustardtiller::Settings;
+use mustardtiller::StartError;
 use mustardtiller::config::Source;
 use mustardtiller::start_logger;
+use mustardtiller_platform::StorePlatform;
+use mustardtiller_platform::dialect;
+use mustardtiller_platform::translate_settings;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -74,6 +80,7 @@
 
 fn read_settings(path: &str) -> Result<Settings, Vec<String>> {
     let text = fs::read_to_string(path).map_err(|e| vec![format!("{path}: {e}")])?;
+    let text = translate_settings(&text).map_err(|e| vec![format!("{path}: {e}")])?;
     let settings = Settings::read(&Source::new(path, text));
     settings.map_err(|faults| faults.iter().map(ToString::to_string).collect())
 }
@@ -83,7 +90,7 @@
     let mut random = [0; 16];
     getrandom::fill(&mut random).map_err(|e| e.to_string())?;
     let signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| e.to_string())?;
-    let daemon = Daemon::start(settings, u128::from_le_bytes(random)).map_err(|e| e.to_string())?;
+    let daemon = start(settings, u128::from_le_bytes(random)).map_err(|e| e.to_string())?;
     let node = Arc::clone(daemon.node());
     daemon.node().spawn(async move {
         let mut signals = signals;
@@ -95,6 +102,17 @@
     Ok(())
 }
 
+fn start(settings: Settings, random: u128) -> Result<Daemon, StartError> {
+    match settings.platform_kind {
+        PlatformKind::Artefacts => Daemon::start(settings, random),
+        PlatformKind::Store => {
+            let clock = Clock::start();
+            let store = Arc::new(StorePlatform::new(settings.platform, clock));
+            Daemon::start_with(settings, random, clock, store, dialect())
+        }
+    }
+}
+
 /// Stop the process on a panic: it means a broken invariant.
 fn abort_on_panic() {
     let report = std::panic::take_hook();
