feat(gate): offer a request to free gates first, and queue only what can be answered in time

Cause: the adaptive limiter halved the slots on noisy machines, entries queued where a free slot stood elsewhere, and requests waited at gates until they were worth nothing. Uploads of 60 KB crossed zones.

--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -1,8 +1,12 @@
 //! What a gate admits: its concurrency limit and its short queue.
 
+mod forecast;
 mod limiter;
 mod queue;
 
+pub use forecast::Admission;
+pub use forecast::Forecast;
+pub use forecast::Patience;
 pub use limiter::Limiter;
 pub use limiter::LimiterBounds;
 pub use limiter::LimiterWindow;
--- a/crates/mustardtiller-core/src/admit/queue.rs
+++ b/crates/mustardtiller-core/src/admit/queue.rs
@@ -25,6 +25,8 @@
     pub weight: u32,
     /// How urgent it is.
     pub urgency: Urgency,
+    /// Until when it must start for its answer to have its full worth.
+    pub start_by: Deadline,
     /// When it stops being wanted.
     pub deadline: Deadline,
     /// What the waiter is to be told through.
@@ -52,14 +54,15 @@
 #[derive(Clone, Debug)]
 struct Place<T> {
     waiter: Waiter<T>,
+    late: bool,
     arrival: u64,
 }
 
 /// A bounded queue that shares slots between callers by weight.
 ///
 /// The next slot goes to the caller with the least use of the upstream for
-/// its weight; among one caller's requests the urgent go first, then the
-/// earliest deadline. When the queue is full, the caller with the most waiting
+/// its weight; among one caller's requests the urgent go first, then those
+/// that can still be answered in time, the earliest first, then the late. When the queue is full, the caller with the most waiting
 /// for its weight gives up its last request.
 #[derive(Debug)]
 pub struct WaitQueue<T> {
@@ -101,7 +104,11 @@
         let arrival = self.arrivals;
         self.arrivals += 1;
         let newcomer = waiter.caller.clone();
-        self.places.push(Place { waiter, arrival });
+        self.places.push(Place {
+            waiter,
+            late: false,
+            arrival,
+        });
         if self.places.len() <= self.capacity {
             return Queued::Waiting;
         }
@@ -120,6 +127,13 @@
         self.take_if(|waiter| waiter.deadline.has_passed(now))
     }
 
+    /// Put those behind that can't be answered in time any more.
+    pub fn age(&mut self, now: Instant) {
+        for place in &mut self.places {
+            place.late = place.waiter.start_by.has_passed(now);
+        }
+    }
+
     /// Take out everybody.
     pub fn drain(&mut self) -> Vec<T> {
         self.take_if(|_| true)
@@ -179,8 +193,14 @@
     }
 }
 
-fn rank<T>(place: &Place<T>) -> (Urgency, Deadline, u64) {
-    (place.waiter.urgency, place.waiter.deadline, place.arrival)
+fn rank<T>(place: &Place<T>) -> (Urgency, bool, Deadline, u64) {
+    let waiter = &place.waiter;
+    let due = if place.late {
+        waiter.deadline
+    } else {
+        waiter.start_by
+    };
+    (waiter.urgency, place.late, due, place.arrival)
 }
 
 fn order<T>(
--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -86,6 +86,8 @@
         TooLate = 20 "too-late",
         /// The body exceeds the limit in force.
         BodyTooLarge = 21 "body-too-large",
+        /// The gate has no slot free at this moment, or its upstream is slow.
+        Busy = 22 "busy",
     }
 );
 
--- a/crates/mustardtiller-core/src/retry/mod.rs
+++ b/crates/mustardtiller-core/src/retry/mod.rs
@@ -6,4 +6,5 @@
 pub use budget::RetryBudget;
 pub use rule::RetryContext;
 pub use rule::RetryReason;
+pub use rule::reached_upstream;
 pub use rule::retry_reason;
--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -83,12 +83,28 @@
     }
 }
 
+/// Report whether a refused attempt has reached an upstream, or may have.
+///
+/// What a gate or an entry refuses costs the upstream nothing, and trying
+/// again elsewhere is no retry to it.
+#[must_use]
+pub const fn reached_upstream(refusal: Refusal) -> bool {
+    match refusal {
+        Refusal::Unknown(_) => true,
+        Refusal::NotRun(not_run) => matches!(
+            not_run.reason(),
+            NotRunReason::UpstreamShed | NotRunReason::WrongUpstream
+        ),
+    }
+}
+
 const fn not_run_retry(reason: NotRunReason) -> Option<RetryReason> {
     match reason {
         NotRunReason::Unreachable | NotRunReason::WrongUpstream => Some(RetryReason::Unreachable),
         NotRunReason::Leaving => Some(RetryReason::Leaving),
         NotRunReason::LinkFull
         | NotRunReason::QueueFull
+        | NotRunReason::Busy
         | NotRunReason::TooLate
         | NotRunReason::UpstreamShed => Some(RetryReason::Busy),
         NotRunReason::UpstreamDown => Some(RetryReason::UpstreamDown),
--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod health;
+mod offer;
 mod sample;
 mod split;
 mod subset;
@@ -13,6 +14,8 @@
 pub use health::EjectionRule;
 pub use health::ErrorRate;
 pub use health::may_eject;
+pub use offer::OfferRule;
+pub use offer::Offers;
 pub use sample::Sample;
 pub use sample::Standing;
 pub use split::Splitter;
--- a/crates/mustardtiller-core/tests/wait_queue.rs
+++ b/crates/mustardtiller-core/tests/wait_queue.rs
@@ -14,6 +14,7 @@
 
 fn waiter(rng: &mut fastrand::Rng, ticket: u64) -> Waiter<u64> {
     let (caller, weight) = CALLERS[rng.usize(..CALLERS.len())];
+    let deadline = Deadline::at(Instant::from_micros(rng.u64(0..1_000)));
     Waiter {
         caller: CallerName::new(caller),
         weight,
@@ -22,7 +23,8 @@
         } else {
             Urgency::Ordinary
         },
-        deadline: Deadline::at(Instant::from_micros(rng.u64(0..1_000))),
+        start_by: deadline,
+        deadline,
         ticket,
     }
 }
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -73,6 +73,7 @@
         urgent: false,
         priority: 1,
         idempotent: false,
+        may_wait: true,
         method: "GET".to_owned(),
         uri: "/item".to_owned(),
         headers: Vec::new(),
--- a/crates/mustardtiller-wire/src/frame/head.rs
+++ b/crates/mustardtiller-wire/src/frame/head.rs
@@ -96,6 +96,8 @@
     pub uri: String,
     /// The headers, end to end ones only.
     pub headers: Vec<Header>,
+    /// It may wait at the gate.
+    pub may_wait: bool,
     /// When it stops being wanted, in microseconds of the receiver's time.
     pub deadline_micros: u64,
     /// Until when an answer has its full worth, in microseconds of the receiver's time.
--- a/crates/mustardtiller-wire/tests/frame_codec.rs
+++ b/crates/mustardtiller-wire/tests/frame_codec.rs
@@ -29,6 +29,7 @@
             urgent: false,
             priority: 1,
             idempotent: true,
+            may_wait: true,
             method: "GET".to_owned(),
             uri,
             headers: vec![Header {
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -8,6 +8,7 @@
 use crate::board::PhaseCell;
 use crate::board::Routes;
 use crate::board::Snapshot;
+use crate::settings::RetryBounds;
 use mustardtiller_config::Artefact;
 use mustardtiller_config::Configuration;
 use mustardtiller_config::Upstream;
@@ -39,6 +40,8 @@
     pub artefact: Snapshot<Option<Arc<Artefact>>>,
     /// The host list. Written by the hosts controller.
     pub hosts: Snapshot<HostList>,
+    /// The settings that may change while the daemon runs. Written on reload.
+    pub retries: Snapshot<RetryBounds>,
     /// The upstreams that registered themselves. Written by the registry controller.
     pub registry: Snapshot<Registry>,
     /// The upstream beside this daemon. Written by the routes controller where
--- a/crates/mustardtiller/src/board/candidate.rs
+++ b/crates/mustardtiller/src/board/candidate.rs
@@ -16,6 +16,8 @@
     pub upstream: Arc<Upstream>,
     /// Its service.
     pub service: ServiceName,
+    /// It stands in another place.
+    pub far: bool,
     /// Price of reaching it from here, in microseconds.
     pub price_micros: u32,
     /// What is heard of it; outlives snapshots.
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -7,6 +7,7 @@
 
 use crate::board::CallerUses;
 use crate::board::Snapshot;
+use mustardtiller_core::Forecast;
 use mustardtiller_core::Instant;
 use mustardtiller_core::LimiterWindow;
 use mustardtiller_wire::LoadReport;
@@ -14,6 +15,18 @@
 /// Work that takes as long as usual, in percent.
 const USUAL_WORK_PERCENT: u32 = 100;
 
+/// Ranks of requests whose service times are kept apart; later ones share the last.
+const PRIORITIES: usize = 4;
+
+/// Service time assumed before the first answer, in microseconds.
+const FIRST_SERVICE_MICROS: u32 = 100_000;
+
+/// Weight of one answer in a smoothed service time, as a divisor.
+const SERVICE_DIVISOR: u32 = 16;
+
+/// Age from which what an upstream said of its speed no longer counts, in microseconds.
+const WORK_FRESH_MICROS: u64 = 100_000;
+
 /// The gate's state.
 ///
 /// `limit` is written by the limiter controller, the leaving flags by the
@@ -34,7 +47,11 @@
     total_micros: AtomicU64,
     shed: AtomicU64,
     down: AtomicBool,
+    registered: AtomicBool,
     work_percent: AtomicU32,
+    work_heard: AtomicU64,
+    service_micros: [AtomicU32; PRIORITIES],
+    mean_micros: AtomicU32,
     peak_in_flight: AtomicU32,
 }
 
@@ -55,7 +72,11 @@
             total_micros: AtomicU64::new(0),
             shed: AtomicU64::new(0),
             down: AtomicBool::new(false),
+            registered: AtomicBool::new(false),
             work_percent: AtomicU32::new(USUAL_WORK_PERCENT),
+            work_heard: AtomicU64::new(0),
+            service_micros: std::array::from_fn(|_| AtomicU32::new(FIRST_SERVICE_MICROS)),
+            mean_micros: AtomicU32::new(FIRST_SERVICE_MICROS),
             peak_in_flight: AtomicU32::new(0),
         }
     }
@@ -128,6 +149,17 @@
         self.leaving.load(Ordering::SeqCst) || self.listed_leaving.load(Ordering::SeqCst)
     }
 
+    /// Record that the upstream has been seen registered.
+    pub fn set_registered(&self) {
+        self.registered.store(true, Ordering::SeqCst);
+    }
+
+    /// Report whether the upstream has ever been seen registered.
+    #[must_use]
+    pub fn was_registered(&self) -> bool {
+        self.registered.load(Ordering::SeqCst)
+    }
+
     /// Record whether the upstream can't be reached. Returns the old value.
     pub fn set_down(&self, down: bool) -> bool {
         self.down.swap(down, Ordering::SeqCst)
@@ -140,9 +172,42 @@
     }
 
     /// Record how long work takes at the upstream at this moment.
-    pub fn set_work_percent(&self, percent: u16) {
+    pub fn set_work_percent(&self, percent: u16, now: Instant) {
         self.work_percent
             .store(u32::from(percent), Ordering::Relaxed);
+        self.work_heard.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Return how long work takes at the upstream, as usual if nothing fresh is known.
+    #[must_use]
+    pub fn work_percent(&self, now: Instant) -> u32 {
+        let heard = Instant::from_micros(self.work_heard.load(Ordering::Relaxed));
+        if now.micros_since(heard) > WORK_FRESH_MICROS {
+            return USUAL_WORK_PERCENT;
+        }
+        self.work_percent.load(Ordering::Relaxed)
+    }
+
+    /// Return what is known when a request of this rank arrives.
+    #[must_use]
+    pub fn forecast(&self, priority: u8, now: Instant) -> Forecast {
+        let service = &self.service_micros[rank(priority)];
+        Forecast {
+            now,
+            running: self.in_flight(),
+            waiting: self.waiting(),
+            limit: self.limit(),
+            service_micros: u64::from(service.load(Ordering::Relaxed)),
+            mean_micros: u64::from(self.mean_micros.load(Ordering::Relaxed)),
+            work_percent: self.work_percent(now),
+        }
+    }
+
+    /// Learn from a request that the upstream completed.
+    pub fn served(&self, priority: u8, micros: u64) {
+        let micros = micros.min(u64::from(u32::MAX)) as u32;
+        smooth(&self.service_micros[rank(priority)], micros);
+        smooth(&self.mean_micros, micros);
     }
 
     /// Start the ramp of a cold upstream.
@@ -176,7 +241,7 @@
             in_flight: self.in_flight() + self.waiting(),
             limit: self.limit(),
             ramp_milli: self.ramp_milli(now),
-            work_percent: self.work_percent.load(Ordering::Relaxed) as u16,
+            work_percent: self.work_percent(now).min(u32::from(u16::MAX)) as u16,
             leaving: closing || self.is_leaving() || self.is_down(),
         }
     }
@@ -189,3 +254,15 @@
         (gone * 1_000 / whole).clamp(100, 1_000) as u16
     }
 }
+
+fn rank(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITIES - 1)
+}
+
+/// Move a smoothed time by one more; a lost update of two at once does no harm.
+fn smooth(smoothed: &AtomicU32, micros: u32) {
+    let old = smoothed.load(Ordering::Relaxed);
+    let step = old.abs_diff(micros).div_ceil(SERVICE_DIVISOR);
+    let new = if micros > old { old + step } else { old - step };
+    smoothed.store(new, Ordering::Relaxed);
+}
--- a/crates/mustardtiller/src/board/routes.rs
+++ b/crates/mustardtiller/src/board/routes.rs
@@ -25,6 +25,8 @@
     pub candidates: Vec<Arc<Candidate>>,
     /// The other upstreams, reached only by token.
     pub others: Vec<Arc<Candidate>>,
+    /// Retries earned by a first attempt, in percent.
+    pub retry_percent: u32,
     /// Retries allowed; outlives snapshots.
     pub retries: Arc<RetryBudget>,
     /// Hedges allowed; outlives snapshots.
--- a/crates/mustardtiller/src/controllers/limiter.rs
+++ b/crates/mustardtiller/src/controllers/limiter.rs
@@ -27,6 +27,13 @@
             let floor = (slots / FLOOR_DIVISOR).max(1);
             limiter = Limiter::new(LimiterBounds { floor, slots });
         }
+        if let Some(discovery) = &node.settings.discovery {
+            let filled = slots * discovery.fill_percent / 100;
+            node.board.gate.set_limit(filled);
+            node.admission.wake();
+            changed.await;
+            continue;
+        }
         let before = node.board.gate.limit();
         let limit = limiter.step(node.board.gate.take_window());
         node.board.gate.set_limit(limit);
--- a/crates/mustardtiller/src/controllers/local.rs
+++ b/crates/mustardtiller/src/controllers/local.rs
@@ -94,8 +94,12 @@
     };
     let leaving = match registry.get(local.name.as_str()) {
         Some(entry) => entry.state == RegistrationState::Draining,
-        None => !registry.is_empty() && registry.at_address(discovery.upstream).is_none(),
+        // Before it has registered, it is only new.
+        None => node.board.gate.was_registered() && registry.at_address(discovery.upstream).is_none(),
     };
+    if registry.get(local.name.as_str()).is_some() {
+        node.board.gate.set_registered();
+    }
     if node.board.gate.set_listed_leaving(leaving) != leaving {
         node.log_leaving(leaving, "its registration says so");
     }
@@ -103,7 +107,9 @@
 
 fn take(node: &Node, discovery: &DiscoverySettings, probed: &Probed) {
     let gate = &node.board.gate;
-    gate.set_work_percent(probed.load.map_or(100, |load| load.work_percent));
+    if let Some(load) = probed.load {
+        gate.set_work_percent(load.work_percent, node.clock.now());
+    }
     if gate.set_down(false) {
         Event::UpstreamUp.log(&probed.name);
         node.admission.wake();
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -134,7 +134,11 @@
         service: Arc::clone(service),
         candidates,
         others,
-        retries: before.map_or_else(budget, |before| Arc::clone(&before.retries)),
+        retry_percent: retry_percent(node, service),
+        retries: before.map_or_else(
+            || Arc::new(RetryBudget::new(retry_cap(node))),
+            |before| Arc::clone(&before.retries),
+        ),
         hedges: before.map_or_else(budget, |before| Arc::clone(&before.hedges)),
     };
     if node.calls_at_once(service.name.as_str()) {
@@ -184,6 +188,29 @@
     }
 }
 
+/// Share of the fleet's allowance of retries that daemons spend, in percent.
+///
+/// The rest covers calls that a repeated run makes, which nobody here counts.
+const RETRY_USE_PERCENT: u32 = 50;
+
+/// Return what a first attempt earns, in percent of a retry.
+fn retry_percent(node: &Node, service: &Service) -> u32 {
+    let fleet = node.board.retries.read().percent;
+    fleet.map_or(service.retry_percent, |percent| {
+        percent * RETRY_USE_PERCENT / 100
+    })
+}
+
+/// Return how many retries this daemon may store: its part of what the fleet may.
+fn retry_cap(node: &Node) -> u32 {
+    let bounds = node.board.retries.share();
+    if bounds.percent.is_none() {
+        return BUDGET_CAP;
+    }
+    let daemons = node.board.registry.read().len().max(1) as u32;
+    (bounds.spare * RETRY_USE_PERCENT / 100 / daemons).max(1)
+}
+
 /// Carry over signals and link of an upstream that stays where it is.
 fn derive_candidate(
     node: &Node,
@@ -209,6 +236,7 @@
     Arc::new(Candidate {
         upstream: Arc::clone(upstream),
         service: service.name.clone(),
+        far: upstream.place != *here,
         price_micros,
         signals,
         slot,
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -183,6 +183,18 @@
         self.admission.wake();
     }
 
+    /// Take settings that were read again.
+    ///
+    /// The bounds of retries change at once. Addresses and names are those of
+    /// this life of the process; others take effect when it starts again.
+    pub fn reload(&self, settings: Settings) {
+        let bounds = settings.retries;
+        Event::Reloaded.log(format_args!("retries {bounds:?}"));
+        if *self.board.retries.read().as_ref() != bounds {
+            self.board.retries.publish(Arc::new(bounds));
+        }
+    }
+
     /// Report whether links to a service are made before its first request.
     #[must_use]
     pub fn calls_at_once(&self, service: &str) -> bool {
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -163,6 +163,7 @@
     let warm_at = now.plus_micros(settings.ramp_ms * 1_000);
     let board = Board {
         identity,
+        retries: Snapshot::new(settings.retries),
         configuration: Snapshot::new(None),
         artefact: Snapshot::new(None),
         hosts: Snapshot::new(HostList::default()),
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -21,6 +21,7 @@
 use mustardtiller_core::Deadline;
 use mustardtiller_core::NotRun;
 use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Patience;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::Sent;
 use mustardtiller_core::UnknownReason;
@@ -50,6 +51,8 @@
     pub target: Deadline,
     /// This attempt is a retry, or the call stems from one.
     pub retried: bool,
+    /// How far the gate may keep the attempt waiting.
+    pub patience: Patience,
 }
 
 /// Why an attempt brought no answer, and who says so.
@@ -246,6 +249,7 @@
         urgent: cx.kind.urgent,
         priority: cx.kind.priority,
         idempotent: cx.kind.idempotent,
+        may_wait: cx.patience == Patience::Queue,
         method: call.method.clone(),
         uri: call.uri.clone(),
         headers: call.headers.clone(),
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::entry::call::CallBody;
 use crate::entry::call::Outcome;
 use crate::entry::hedge::hedged;
+use crate::entry::pick::PlacePrice;
 use crate::entry::pick::pick;
 use crate::metrics::Counted;
 use mustardtiller_config::Kind;
@@ -22,17 +23,25 @@
 use mustardtiller_core::Attempt;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::NotRunReason;
+use mustardtiller_core::OfferRule;
+use mustardtiller_core::Offers;
+use mustardtiller_core::Patience;
 use mustardtiller_core::Policy;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::RetryContext;
+use mustardtiller_core::RetryReason;
 use mustardtiller_core::Token;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::UpstreamName;
+use mustardtiller_core::reached_upstream;
 use mustardtiller_core::retry_reason;
 
 /// Time that a call waits for the first link of a service, in milliseconds.
 const LINK_WAIT_MS: u64 = 1_000;
 
+/// Share of the time for an answer of full worth that a call waits for a link, as a divisor.
+const LINK_WAIT_DIVISOR: u64 = 4;
+
 /// Deepest call that is taken; far beyond any tree of calls, it ends loops.
 const MAX_DEPTH: u8 = 64;
 
@@ -67,6 +76,7 @@
         deadline,
         target: Deadline::in_millis(call.began, kind.target_ms).min(deadline),
         retried: call.outer_retry,
+        patience: Patience::Queue,
     };
     node.want_links(&service);
     match bound {
@@ -140,67 +150,157 @@
     }
 }
 
+/// Offers of a call where upstreams register themselves and their gates forecast.
+const FORECAST_OFFERS: OfferRule = OfferRule {
+    immediate: 3,
+    queued: 2,
+};
+
+/// Price of another place from which a call waits rather than goes there, in microseconds.
+const DEAR_MICROS: u32 = 50_000;
+
+/// What a call has tried.
+#[derive(Debug, Default)]
+struct Tried {
+    /// Upstreams that refused to start the call at once.
+    busy: SmallVec<[UpstreamName; 4]>,
+    /// Upstreams that are not tried again.
+    spent: SmallVec<[UpstreamName; 4]>,
+    /// Attempts that reached an upstream, or may have.
+    reached: u32,
+    /// The last refusal.
+    last: Option<Refusal>,
+}
+
+impl Tried {
+    /// Return the upstreams that the next offer passes by.
+    fn excluded(&self, patience: Patience) -> SmallVec<[UpstreamName; 4]> {
+        let mut names = self.spent.clone();
+        if patience == Patience::None {
+            names.extend(self.busy.iter().cloned());
+        }
+        names
+    }
+
+    fn note(&mut self, name: &UpstreamName, patience: Patience, refusal: Refusal) {
+        self.last = Some(refusal);
+        if reached_upstream(refusal) {
+            self.reached += 1;
+        }
+        if patience == Patience::None && !reached_upstream(refusal) {
+            self.busy.push(name.clone());
+        } else {
+            self.spent.push(name.clone());
+        }
+    }
+}
+
 /// Run a call on any upstream, again if that is harmless and within budget.
 async fn run_free(
-    cx: AttemptCx<'_>,
+    mut cx: AttemptCx<'_>,
     service: &ServiceRoutes,
     call: &mut Call,
 ) -> Result<Answer, Refusal> {
-    let policy = Policy {
-        weigh: cx.kind.weigh,
-        ..Policy::default()
-    };
-    let mut tried: SmallVec<[UpstreamName; 4]> = SmallVec::new();
+    let place = PlacePrice::of(cx.node, call);
+    let mut offers = Offers::new(offer_rule(cx, call, place));
+    let mut tried = Tried::default();
     // A call that stems from a retry earns nothing, so budgets don't feed each other.
     if !call.outer_retry {
-        service.retries.earn(service.service.retry_percent);
+        service.retries.earn(service.retry_percent);
         service.hedges.earn(cx.kind.hedge_percent);
     }
-    let mut cx = cx;
-    let mut last: Option<Refusal> = None;
-    loop {
-        let Some(candidate) = next_candidate(cx, service, &tried, &policy).await else {
-            let none = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
-            return Err(last.unwrap_or_else(none));
+    while let Some(patience) = offers.next() {
+        cx.patience = patience;
+        let Some(candidate) = next_candidate(cx, service, &tried, place).await else {
+            if patience == Patience::Queue {
+                break;
+            }
+            offers.skip_immediate();
+            continue;
         };
         let refusal = match hedged(cx, service, &candidate, call).await {
             Ok(answer) => return Ok(answer),
             Err(e) => e.refusal(),
         };
-        tried.push(candidate.upstream.name.clone());
-        let replayable = matches!(call.body, CallBody::Whole(_));
-        let context = RetryContext {
-            idempotent: cx.kind.idempotent,
-            replayable,
-            bound: false,
-            outer_retry: call.outer_retry,
-            attempts: tried.len() as u32,
-            max_attempts: cx.kind.attempts,
-        };
-        let reason = retry_reason(refusal, context).filter(|_| service.retries.try_spend());
-        let Some(reason) = reason else {
+        offers.refused(patience);
+        tried.note(&candidate.upstream.name, patience, refusal);
+        let Some(reason) = may_go_on(cx, service, call, &tried, refusal) else {
             return Err(refusal);
         };
         cx.node.metrics.count_retry(reason);
-        cx.retried = true;
-        last = Some(refusal);
+        cx.retried |= reached_upstream(refusal);
     }
+    let none = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
+    Err(tried.last.unwrap_or_else(none))
+}
+
+fn offer_rule(cx: AttemptCx<'_>, call: &Call, place: PlacePrice) -> OfferRule {
+    if cx.node.settings.discovery.is_none() {
+        return OfferRule {
+            immediate: 0,
+            queued: cx.kind.attempts,
+        };
+    }
+    // A body that is dear to move waits near, and one that streams is offered once.
+    match call.body {
+        CallBody::Streamed { .. } => OfferRule {
+            immediate: 0,
+            queued: 1,
+        },
+        CallBody::Whole(_) if place.far_micros >= DEAR_MICROS => OfferRule {
+            immediate: 0,
+            ..FORECAST_OFFERS
+        },
+        CallBody::Whole(_) => FORECAST_OFFERS,
+    }
+}
+
+/// Return why a refused call is tried again, or `None` if it is not.
+fn may_go_on(
+    cx: AttemptCx<'_>,
+    service: &ServiceRoutes,
+    call: &Call,
+    tried: &Tried,
+    refusal: Refusal,
+) -> Option<RetryReason> {
+    let forecasts = cx.node.settings.discovery.is_some();
+    let attempts = if forecasts {
+        tried.reached
+    } else {
+        (tried.spent.len() + tried.busy.len()) as u32
+    };
+    let context = RetryContext {
+        idempotent: cx.kind.idempotent,
+        replayable: matches!(call.body, CallBody::Whole(_)),
+        bound: false,
+        outer_retry: call.outer_retry,
+        attempts,
+        max_attempts: cx.kind.attempts,
+    };
+    let free = forecasts && !reached_upstream(refusal);
+    retry_reason(refusal, context).filter(|_| free || service.retries.try_spend())
 }
 
 async fn next_candidate(
     cx: AttemptCx<'_>,
     service: &ServiceRoutes,
-    tried: &[UpstreamName],
-    policy: &Policy,
+    tried: &Tried,
+    place: PlacePrice,
 ) -> Option<Arc<Candidate>> {
+    let policy = Policy {
+        weigh: cx.kind.weigh,
+        ..Policy::default()
+    };
+    let excluded = tried.excluded(cx.patience);
     let draw = || {
         let now = cx.node.clock.now();
-        pick(&service.candidates, tried, policy, now, &mut cx.node.rng()).cloned()
+        let rng = &mut cx.node.rng();
+        pick(&service.candidates, &excluded, &policy, place, now, rng).cloned()
     };
     if let Some(candidate) = draw() {
         return Some(candidate);
     }
-    if !tried.is_empty() {
+    if tried.last.is_some() {
         return None;
     }
     wait_for_any_link(cx, service).await;
@@ -238,6 +338,12 @@
     candidate: &Arc<Candidate>,
 ) -> Option<Arc<crate::link::LinkHandle>> {
     cx.node.want_link(candidate);
-    let limit = Deadline::in_millis(cx.node.clock.now(), LINK_WAIT_MS).min(cx.deadline);
+    let now = cx.node.clock.now();
+    let mut limit = Deadline::in_millis(now, LINK_WAIT_MS).min(cx.deadline);
+    if cx.node.settings.discovery.is_some() {
+        // One that waits longer is no longer answered in time: it may as well be told.
+        let left = cx.target.remaining(now).as_millis() as u64;
+        limit = limit.min(Deadline::in_millis(now, left / LINK_WAIT_DIVISOR));
+    }
     candidate.slot.wait(cx.node.clock, limit).await
 }
--- a/crates/mustardtiller/src/entry/hedge.rs
+++ b/crates/mustardtiller/src/entry/hedge.rs
@@ -12,6 +12,7 @@
 use crate::entry::call::Answer;
 use crate::entry::call::Call;
 use crate::entry::call::CallBody;
+use crate::entry::pick::PlacePrice;
 use crate::entry::pick::pick;
 use crate::metrics::Counted;
 use mustardtiller_core::Attempt;
@@ -43,10 +44,11 @@
     };
     let usual_ms = u64::from(first.signals.latency_micros()) * HEDGE_AFTER_LATENCIES / 1_000;
     let due = Deadline::in_millis(cx.node.clock.now(), usual_ms.max(LEAST_HEDGE_MS));
+    let place = PlacePrice::of(cx.node, call);
     let main = attempt(cx, Attempt::begin(), first, call);
     let hedge = async {
         cx.node.clock.sleep_until(due).await;
-        match second_candidate(cx, service, first) {
+        match second_candidate(cx, service, first, place) {
             Some(second) => {
                 cx.node.metrics.count(Counted::Hedges);
                 attempt(cx, Attempt::begin(), &second, &mut copy).await
@@ -79,6 +81,7 @@
     cx: AttemptCx<'_>,
     service: &ServiceRoutes,
     first: &Arc<Candidate>,
+    place: PlacePrice,
 ) -> Option<Arc<Candidate>> {
     if !service.hedges.try_spend() {
         return None;
@@ -93,6 +96,7 @@
         &service.candidates,
         &tried,
         &policy,
+        place,
         now,
         &mut cx.node.rng(),
     )
--- a/crates/mustardtiller/src/entry/token.rs
+++ b/crates/mustardtiller/src/entry/token.rs
@@ -64,7 +64,9 @@
         weigh: service.service.weigh,
         ..Policy::default()
     };
-    let candidate = pick::pick(&service.candidates, &[], &policy, now, &mut node.rng())?;
+    let anywhere = pick::PlacePrice { far_micros: 0 };
+    let rng = &mut node.rng();
+    let candidate = pick::pick(&service.candidates, &[], &policy, anywhere, now, rng)?;
     let link = candidate.slot.get()?;
     let minted = link.gate_now(now)?;
     node.metrics.count(Counted::TokensMinted);
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -57,6 +57,10 @@
     StopCut = 103 Error "stop cut work in flight",
     /// A listener failed to accept a connection.
     AcceptFailed = 104 Warn "connection not accepted",
+    /// The settings were read again.
+    Reloaded = 105 Info "settings read again",
+    /// The settings were read again and are not taken.
+    ReloadRefused = 106 Error "changed settings refused",
     /// A configuration is in force.
     ConfigAccepted = 200 Info "configuration accepted",
     /// A configuration was refused whole.
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -76,6 +76,7 @@
         | NotRunReason::LedgerFull
         | NotRunReason::UpstreamShed
         | NotRunReason::TooLate
+        | NotRunReason::Busy
         | NotRunReason::NoConfiguration => 503,
     }
 }
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -13,8 +13,11 @@
 use crate::daemon::Node;
 use crate::gate::GateRequest;
 use crate::metrics::Counted;
+use mustardtiller_core::Admission;
 use mustardtiller_core::Deadline;
+use mustardtiller_core::Forecast;
 use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Patience;
 use mustardtiller_core::Queued;
 use mustardtiller_core::Urgency;
 use mustardtiller_core::WaitQueue;
@@ -61,6 +64,7 @@
 struct Ask {
     caller: Arc<CallerUse>,
     urgency: Urgency,
+    start_by: Deadline,
     deadline: Deadline,
     reply: Sender<Result<Permit, NotRunReason>>,
 }
@@ -106,6 +110,11 @@
         if node.refuses_new_work() {
             return Err(NotRunReason::Leaving);
         }
+        let now = node.clock.now();
+        let forecast = gate.forecast(req.priority, now);
+        if let Admission::Refuse(reason) = admission(node, &forecast, req) {
+            return Err(reason);
+        }
         let caller = Arc::clone(gate.callers.read().find(&req.caller));
         if gate.waiting() == 0 && gate.try_take() {
             return Ok(Permit::new(node, caller));
@@ -117,9 +126,11 @@
             Urgency::Ordinary
         };
         let (reply, answer) = bounded(1);
+        let service = forecast.service_micros;
         let ask = Ask {
             caller,
             urgency,
+            start_by: Deadline::at(req.target.instant().minus_micros(service)),
             deadline: req.deadline,
             reply,
         };
@@ -128,6 +139,16 @@
     }
 }
 
+/// Decide by the forecast, where upstreams register themselves.
+///
+/// Where operators name upstreams, kinds say no target, and the queue alone decides.
+fn admission(node: &Node, forecast: &Forecast, req: &GateRequest) -> Admission {
+    if node.settings.discovery.is_none() && req.patience == Patience::Queue {
+        return Admission::Take;
+    }
+    forecast.admission(req.patience, req.target, req.deadline)
+}
+
 impl Default for AdmissionDesk {
     fn default() -> Self {
         Self::new()
@@ -171,6 +192,7 @@
         caller: ask.caller.name.clone(),
         weight: ask.caller.share,
         urgency: ask.urgency,
+        start_by: ask.start_by,
         deadline: ask.deadline,
         ticket: Ticket {
             caller: ask.caller,
@@ -185,6 +207,7 @@
 
 /// Refuse whom it is too late for, then hand out free slots.
 fn grant(node: &Arc<Node>, queue: &mut WaitQueue<Ticket>) {
+    queue.age(node.clock.now());
     for ticket in queue.expire(node.clock.now()) {
         refuse(node, &ticket, NotRunReason::DeadlinePassed);
     }
--- a/crates/mustardtiller/src/gate/request.rs
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -5,6 +5,7 @@
 use crate::body::PieceSource;
 use crate::upstream::UpstreamBody;
 use mustardtiller_core::Deadline;
+use mustardtiller_core::Patience;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::Token;
 use mustardtiller_core::Verdict;
@@ -22,6 +23,8 @@
     pub priority: u8,
     /// It may run more than once.
     pub idempotent: bool,
+    /// How far it may be kept waiting here.
+    pub patience: Patience,
     /// The HTTP method.
     pub method: String,
     /// The path and query.
@@ -61,6 +64,7 @@
             urgent: self.urgent,
             priority: self.priority,
             idempotent: self.idempotent,
+            patience: self.patience,
             method: self.method.clone(),
             uri: self.uri.clone(),
             headers: self.headers.clone(),
--- a/crates/mustardtiller/src/lib.rs
+++ b/crates/mustardtiller/src/lib.rs
@@ -85,5 +85,6 @@
 pub use published::parse_hosts;
 pub use settings::DiscoverySettings;
 pub use settings::PlatformKind;
+pub use settings::RetryBounds;
 pub use settings::Settings;
 pub use upstream::UpstreamPool;
--- a/crates/mustardtiller/src/link/incoming.rs
+++ b/crates/mustardtiller/src/link/incoming.rs
@@ -13,6 +13,7 @@
 use crate::gate::GateRequest;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
+use mustardtiller_core::Patience;
 use mustardtiller_core::Token;
 use mustardtiller_wire::BodyForm;
 use mustardtiller_wire::Frame;
@@ -41,6 +42,11 @@
         urgent: head.urgent,
         priority: head.priority,
         idempotent: head.idempotent,
+        patience: if head.may_wait {
+            Patience::Queue
+        } else {
+            Patience::None
+        },
         method: head.method,
         uri: head.uri,
         headers: head.headers,
--- a/crates/mustardtiller/src/settings/mod.rs
+++ b/crates/mustardtiller/src/settings/mod.rs
@@ -4,4 +4,5 @@
 
 pub use daemon::DiscoverySettings;
 pub use daemon::PlatformKind;
+pub use daemon::RetryBounds;
 pub use daemon::Settings;
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -61,6 +61,7 @@
     permit: Permit,
 ) -> GateAnswer {
     let deadline = req.deadline;
+    let priority = req.priority;
     let began = node.clock.now();
     let head_only = req.method == "HEAD";
     let request_id = req.header(node.dialect.request_id).cloned();
@@ -109,6 +110,7 @@
         sender: Some(sender),
         deadline,
         began,
+        priority,
         permit: Some(permit),
     };
     match body.incoming.size_hint().exact() {
@@ -283,7 +285,7 @@
     let load = headers.get(node.dialect.load);
     let load = load.and_then(|load| load.to_str().ok());
     if let Some(load) = load.and_then(node.dialect.read_load) {
-        node.board.gate.set_work_percent(load.work_percent);
+        node.board.gate.set_work_percent(load.work_percent, node.clock.now());
     }
 }
 
--- a/crates/mustardtillerd/src/main.rs
+++ b/crates/mustardtillerd/src/main.rs
@@ -13,6 +13,7 @@
 
 use mustardtiller::Clock;
 use mustardtiller::Daemon;
+use mustardtiller::Event;
 use mustardtiller::Phase;
 use mustardtiller::PlatformKind;
 use mustardtiller::Settings;
@@ -51,7 +52,7 @@
         println!("{path}: good");
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    match run(path, settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(wrong) => {
             eprintln!("mustardtillerd: {wrong}");
@@ -85,17 +86,24 @@
     settings.map_err(|faults| faults.iter().map(ToString::to_string).collect())
 }
 
-fn run(settings: Settings) -> Result<(), String> {
+fn run(path: &str, settings: Settings) -> Result<(), String> {
     start_logger(settings.level)?;
     let mut random = [0; 16];
     getrandom::fill(&mut random).map_err(|e| e.to_string())?;
-    let signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| e.to_string())?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| e.to_string())?;
     let daemon = start(settings, u128::from_le_bytes(random)).map_err(|e| e.to_string())?;
     let node = Arc::clone(daemon.node());
+    let path = path.to_owned();
     daemon.node().spawn(async move {
         let mut signals = signals;
-        if signals.next().await.is_some() {
-            node.board.phase.advance(Phase::Withdrawn);
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => match read_settings(&path) {
+                    Ok(settings) => node.reload(settings),
+                    Err(faults) => Event::ReloadRefused.log(faults.join("; ")),
+                },
+                _ => node.board.phase.advance(Phase::Withdrawn),
+            }
         }
     });
     daemon.join();
