--- a/crates/mustardtiller-core/src/admit/forecast.rs
+++ b/crates/mustardtiller-core/src/admit/forecast.rs
@@ -30,6 +30,8 @@
     pub waiting: u32,
     /// Requests that may run at once.
     pub limit: u32,
+    /// Requests that the upstream runs at once.
+    pub slots: u32,
     /// Usual time at the upstream of a request of this kind, in microseconds.
     pub service_micros: u64,
     /// Usual time at the upstream of any request, in microseconds.
@@ -38,60 +40,95 @@
     pub work_percent: u32,
 }
 
+/// What a request wants of a gate.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish {
+    /// How far it may be kept waiting.
+    pub patience: Patience,
+    /// Until when its answer has its full worth.
+    pub target: Deadline,
+    /// When it stops being wanted.
+    pub deadline: Deadline,
+    /// Its caller was refused before and came back as told.
+    pub returned: bool,
+}
+
 /// What becomes of a request that arrives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
-    /// It starts if a slot is free, and else waits.
-    Take,
+    /// It starts.
+    Start,
+    /// It waits for a slot.
+    Wait,
     /// It is refused, and has not run.
     Refuse(NotRunReason),
 }
 
 impl Forecast {
-    /// Decide whether a request is taken.
+    /// Return how many requests like this one may run at once.
     ///
-    /// `target` is until when its answer has its full worth. A request that can
-    /// still be answered by then is taken only if that is likely: one that
-    /// waits in vain holds its caller up and helps nobody. One that is late
-    /// already is taken only where nobody waits.
+    /// Short requests, which others wait for in the middle of their work, may
+    /// fill the upstream; the rest leave some slots, since many upstreams slow
+    /// down when they are full.
     #[must_use]
-    pub fn admission(&self, patience: Patience, target: Deadline, deadline: Deadline) -> Admission {
-        let least = self.service_micros * LEAST_SERVICE_PERCENT / 100;
-        if deadline.has_passed(self.now.plus_micros(least)) {
+    pub const fn limit(&self) -> u32 {
+        if self.is_short() {
+            self.slots
+        } else {
+            self.limit
+        }
+    }
+
+    /// Return the time without which no answer is to be hoped for, in microseconds.
+    #[must_use]
+    pub const fn least_service_micros(&self) -> u64 {
+        self.service_micros * LEAST_SERVICE_PERCENT / 100
+    }
+
+    const fn is_short(&self) -> bool {
+        self.service_micros * 2 <= self.mean_micros
+    }
+
+    /// Decide whether a request is taken. `ahead` counts those that wait and go before it.
+    ///
+    /// A request that can be answered with its full worth is taken only if that
+    /// is likely: one that waits in vain holds its caller up and helps nobody.
+    /// One that will be late waits only if it is short, where refusing it would
+    /// save little.
+    #[must_use]
+    pub fn admission(&self, wish: &Wish, ahead: u32) -> Admission {
+        let least = self.least_service_micros();
+        if wish.deadline.has_passed(self.now.plus_micros(least)) {
             return Admission::Refuse(NotRunReason::TooLate);
         }
-        let free = self.waiting == 0 && self.running < self.limit;
-        match patience {
+        let free = ahead == 0 && self.running < self.limit();
+        match wish.patience {
             Patience::None if !free || self.work_percent >= SLOW_PERCENT => {
                 Admission::Refuse(NotRunReason::Busy)
             }
-            _ if free => Admission::Take,
-            _ => self.queue(target, deadline),
+            _ if free => Admission::Start,
+            _ => self.queue(wish, ahead),
         }
     }
 
-    fn queue(&self, target: Deadline, deadline: Deadline) -> Admission {
-        let unhindered = self.now.plus_micros(self.service_micros);
-        let answered = unhindered.plus_micros(self.wait_micros());
-        let limit = if target.has_passed(unhindered) {
-            if self.waiting > 0 {
-                return Admission::Refuse(NotRunReason::QueueFull);
-            }
-            deadline
+    fn queue(&self, wish: &Wish, ahead: u32) -> Admission {
+        let wait = self.wait_micros(ahead);
+        let answered = self.now.plus_micros(self.service_micros + wait);
+        if !wish.target.has_passed(answered) {
+            return Admission::Wait;
+        }
+        if self.is_short() && !wish.deadline.has_passed(answered) {
+            Admission::Wait
         } else {
-            target
-        };
-        if limit.has_passed(answered) {
             Admission::Refuse(NotRunReason::QueueFull)
-        } else {
-            Admission::Take
         }
     }
 
     /// Return how long a newcomer is likely to wait for a slot, in microseconds.
     #[must_use]
-    pub fn wait_micros(&self) -> u64 {
-        let over = (self.running + self.waiting + 1).saturating_sub(self.limit);
-        u64::from(over) * self.mean_micros / u64::from(self.limit.max(1))
+    pub fn wait_micros(&self, ahead: u32) -> u64 {
+        let limit = self.limit();
+        let over = (self.running + ahead + 1).saturating_sub(limit);
+        u64::from(over) * self.mean_micros / u64::from(limit.max(1))
     }
 }
--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -7,6 +7,7 @@
 pub use forecast::Admission;
 pub use forecast::Forecast;
 pub use forecast::Patience;
+pub use forecast::Wish;
 pub use limiter::Limiter;
 pub use limiter::LimiterBounds;
 pub use limiter::LimiterWindow;
--- a/crates/mustardtiller-core/src/admit/queue.rs
+++ b/crates/mustardtiller-core/src/admit/queue.rs
@@ -127,6 +127,16 @@
         self.take_if(|waiter| waiter.deadline.has_passed(now))
     }
 
+    /// Return how many wait that must start before `start_by`.
+    #[must_use]
+    pub fn ahead_of(&self, start_by: Deadline) -> u32 {
+        let ahead = self
+            .places
+            .iter()
+            .filter(|place| !place.late && place.waiter.start_by <= start_by);
+        ahead.count() as u32
+    }
+
     /// Put those behind that can't be answered in time any more.
     pub fn age(&mut self, now: Instant) {
         for place in &mut self.places {
@@ -139,6 +149,12 @@
         self.take_if(|_| true)
     }
 
+    /// Return the waiter that is next in fairness.
+    pub fn peek(&self, in_use: impl Fn(&CallerName) -> u32) -> Option<&Waiter<T>> {
+        let place = self.places.iter().min_by(|a, b| order(a, b, &in_use))?;
+        Some(&place.waiter)
+    }
+
     /// Take out the waiter that is next in fairness.
     ///
     /// `in_use` tells how many slots a caller holds now.
--- a/crates/mustardtiller-core/src/discover/registry.rs
+++ b/crates/mustardtiller-core/src/discover/registry.rs
@@ -101,6 +101,13 @@
             .max_by_key(|entry| entry.born_ms)
     }
 
+    /// Report whether no later incarnation is registered at the entry's address.
+    #[must_use]
+    pub fn is_newest(&self, entry: &Registration) -> bool {
+        self.entries()
+            .all(|other| other.address != entry.address || other.born_ms <= entry.born_ms)
+    }
+
     /// Return a digest of the entries, the same in every process.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -91,10 +91,7 @@
 pub const fn reached_upstream(refusal: Refusal) -> bool {
     match refusal {
         Refusal::Unknown(_) => true,
-        Refusal::NotRun(not_run) => matches!(
-            not_run.reason(),
-            NotRunReason::UpstreamShed | NotRunReason::WrongUpstream
-        ),
+        Refusal::NotRun(not_run) => matches!(not_run.reason(), NotRunReason::UpstreamShed),
     }
 }
 
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -74,6 +74,7 @@
         priority: 1,
         idempotent: false,
         may_wait: true,
+        returned: false,
         method: "GET".to_owned(),
         uri: "/item".to_owned(),
         headers: Vec::new(),
--- a/crates/mustardtiller-wire/tests/frame_codec.rs
+++ b/crates/mustardtiller-wire/tests/frame_codec.rs
@@ -30,6 +30,7 @@
             priority: 1,
             idempotent: true,
             may_wait: true,
+            returned: false,
             method: "GET".to_owned(),
             uri,
             headers: vec![Header {
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -39,6 +39,7 @@
     in_flight: AtomicU32,
     waiting: AtomicU32,
     limit: AtomicU32,
+    slots: AtomicU32,
     leaving: AtomicBool,
     listed_leaving: AtomicBool,
     warm_from: AtomicU64,
@@ -64,6 +65,7 @@
             in_flight: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             limit: AtomicU32::new(1),
+            slots: AtomicU32::new(1),
             leaving: AtomicBool::new(false),
             listed_leaving: AtomicBool::new(false),
             warm_from: AtomicU64::new(warm_from.as_micros()),
@@ -81,9 +83,8 @@
         }
     }
 
-    /// Take a slot if one is free.
-    pub fn try_take(&self) -> bool {
-        let limit = self.limit.load(Ordering::SeqCst);
+    /// Take a slot if fewer than `limit` are taken.
+    pub fn try_take(&self, limit: u32) -> bool {
         let taken = self
             .in_flight
             .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| {
@@ -127,6 +128,11 @@
         self.limit.store(limit.max(1), Ordering::SeqCst);
     }
 
+    /// Set the slots of the upstream. For the limiter controller.
+    pub fn set_slots(&self, slots: u32) {
+        self.slots.store(slots.max(1), Ordering::SeqCst);
+    }
+
     /// Return the limit.
     #[must_use]
     pub fn limit(&self) -> u32 {
@@ -197,6 +203,7 @@
             running: self.in_flight(),
             waiting: self.waiting(),
             limit: self.limit(),
+            slots: self.slots.load(Ordering::SeqCst),
             service_micros: u64::from(service.load(Ordering::Relaxed)),
             mean_micros: u64::from(self.mean_micros.load(Ordering::Relaxed)),
             work_percent: self.work_percent(now),
--- a/crates/mustardtiller/src/board/mod.rs
+++ b/crates/mustardtiller/src/board/mod.rs
@@ -21,6 +21,7 @@
 pub use phase::Phase;
 pub use phase::PhaseCell;
 pub use routes::ActiveRoute;
+pub use routes::Found;
 pub use routes::Routes;
 pub use routes::ServiceRoutes;
 pub use signals::Signals;
--- a/crates/mustardtiller/src/board/routes.rs
+++ b/crates/mustardtiller/src/board/routes.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use smallvec::SmallVec;
 
@@ -69,9 +71,20 @@
     pub route: Arc<Route>,
     /// Deals its requests to its parts; outlives snapshots.
     pub splitter: Arc<Splitter>,
+    /// The longest time that callers gave a request, in microseconds; outlives snapshots.
+    pub full_micros: Arc<AtomicU64>,
 }
 
 impl ActiveRoute {
+    /// Return how long ago the caller began, in microseconds, judged by the time that it has left.
+    ///
+    /// Callers of one route begin with the same time. One that comes back after
+    /// a refusal has less of it left, and is waited for since its first attempt.
+    fn elapsed_micros(&self, left_micros: u64) -> u64 {
+        let full = self.full_micros.fetch_max(left_micros, Ordering::Relaxed);
+        full.saturating_sub(left_micros)
+    }
+
     fn next_part(&self) -> &ServiceName {
         let parts = &self.route.parts;
         if let [only] = parts.as_slice() {
@@ -82,6 +95,17 @@
     }
 }
 
+/// Where a request goes, and how it is handled.
+#[derive(Debug)]
+pub struct Found {
+    /// The service.
+    pub service: Arc<ServiceRoutes>,
+    /// How it is handled.
+    pub kind: Arc<Kind>,
+    /// How long ago its caller began, in microseconds; zero for a first attempt.
+    pub elapsed_micros: u64,
+}
+
 /// Every service and route. Written by the routes controller.
 #[derive(Debug, Default)]
 pub struct Routes {
@@ -96,7 +120,8 @@
 impl Routes {
     /// Find where a request goes, and how it is handled.
     ///
-    /// Each call deals one request to a part of its route.
+    /// Each call deals one request to a part of its route. `left_micros` is the
+    /// time that the caller still gives it.
     ///
     /// # Errors
     ///
@@ -106,11 +131,16 @@
         host: &str,
         method: &str,
         path: &str,
-    ) -> Result<(Arc<ServiceRoutes>, Arc<Kind>), NotRunReason> {
+        left_micros: Option<u64>,
+    ) -> Result<Found, NotRunReason> {
         if let Some(active) = self.route_of(host, method, path) {
             let service = self.services.get(active.next_part());
             let service = service.ok_or(NotRunReason::NoService)?;
-            return Ok((Arc::clone(service), Arc::clone(&active.route.kind)));
+            return Ok(Found {
+                service: Arc::clone(service),
+                kind: Arc::clone(&active.route.kind),
+                elapsed_micros: left_micros.map_or(0, |left| active.elapsed_micros(left)),
+            });
         }
         let Some(service) = self.hosts.get(host) else {
             let routed = !self.routes.is_empty();
@@ -121,7 +151,11 @@
             });
         };
         let kind = service.kind_of(method, path).ok_or(NotRunReason::NoKind)?;
-        Ok((Arc::clone(service), Arc::clone(kind)))
+        Ok(Found {
+            service: Arc::clone(service),
+            kind: Arc::clone(kind),
+            elapsed_micros: 0,
+        })
     }
 
     /// Find how a request is handled, without dealing it to a service.
--- a/crates/mustardtiller/src/controllers/limiter.rs
+++ b/crates/mustardtiller/src/controllers/limiter.rs
@@ -29,6 +29,7 @@
         }
         if let Some(discovery) = &node.settings.discovery {
             let filled = slots * discovery.fill_percent / 100;
+            node.board.gate.set_slots(slots);
             node.board.gate.set_limit(filled);
             node.admission.wake();
             changed.await;
@@ -36,6 +37,7 @@
         }
         let before = node.board.gate.limit();
         let limit = limiter.step(node.board.gate.take_window());
+        node.board.gate.set_slots(limit);
         node.board.gate.set_limit(limit);
         if limit > before {
             node.admission.wake();
--- a/crates/mustardtiller/src/controllers/local.rs
+++ b/crates/mustardtiller/src/controllers/local.rs
@@ -95,7 +95,9 @@
     let leaving = match registry.get(local.name.as_str()) {
         Some(entry) => entry.state == RegistrationState::Draining,
         // Before it has registered, it is only new.
-        None => node.board.gate.was_registered() && registry.at_address(discovery.upstream).is_none(),
+        None => {
+            node.board.gate.was_registered() && registry.at_address(discovery.upstream).is_none()
+        }
     };
     if registry.get(local.name.as_str()).is_some() {
         node.board.gate.set_registered();
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use smol::future;
 
@@ -96,9 +97,14 @@
             || Arc::new(Splitter::new(node.rng().u32(..))),
             |before| Arc::clone(&before.splitter),
         );
+        let full_micros = before.map_or_else(
+            || Arc::new(AtomicU64::new(0)),
+            |before| Arc::clone(&before.full_micros),
+        );
         let active = ActiveRoute {
             route: Arc::clone(route),
             splitter,
+            full_micros,
         };
         let paths = routes.routes.entry(Arc::clone(&route.host)).or_default();
         paths.insert(Arc::clone(&route.kind.path), active);
@@ -153,9 +159,10 @@
         return service.upstreams.clone();
     }
     let registry = node.board.registry.read();
+    // A host that started again has two entries until the old one lapses.
     let registered = registry
         .entries()
-        .filter(|entry| entry.service == service.name);
+        .filter(|entry| entry.service == service.name && registry.is_newest(entry));
     registered
         .map(|entry| Arc::new(discovered_upstream(node, entry)))
         .collect()
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::board::Candidate;
+use crate::board::Found;
 use crate::board::ServiceRoutes;
 use crate::daemon::Node;
 use crate::entry::attempt::AttemptCx;
@@ -42,6 +43,10 @@
 /// Share of the time for an answer of full worth that a call waits for a link, as a divisor.
 const LINK_WAIT_DIVISOR: u64 = 4;
 
+/// Time after its first attempt from which a caller counts as come back, in
+/// microseconds; less is the way to the daemon.
+const RETURNED_MICROS: u64 = 20_000;
+
 /// Deepest call that is taken; far beyond any tree of calls, it ends loops.
 const MAX_DEPTH: u8 = 64;
 
@@ -64,7 +69,11 @@
 async fn route(node: &Arc<Node>, call: &mut Call) -> Result<Answer, Refusal> {
     let bound = call.token.clone();
     let found = find(node, call);
-    let (service, kind) = match found {
+    let Found {
+        service,
+        kind,
+        elapsed_micros,
+    } = match found {
         Ok(found) => found,
         Err(reason) => return Err(refuse_unsent(bound.as_ref(), reason)),
     };
@@ -74,7 +83,8 @@
         node,
         kind: &kind,
         deadline,
-        target: Deadline::in_millis(call.began, kind.target_ms).min(deadline),
+        target: target_of(call, &kind, elapsed_micros).min(deadline),
+        returned: elapsed_micros > RETURNED_MICROS,
         retried: call.outer_retry,
         patience: Patience::Queue,
     };
@@ -85,7 +95,13 @@
     }
 }
 
-fn find(node: &Node, call: &mut Call) -> Result<(Arc<ServiceRoutes>, Arc<Kind>), NotRunReason> {
+/// Return until when an answer has its full worth, counted from the caller's first attempt.
+fn target_of(call: &Call, kind: &Kind, elapsed_micros: u64) -> Deadline {
+    let from_now = (kind.target_ms * 1_000).saturating_sub(elapsed_micros);
+    Deadline::at(call.began.plus_micros(from_now))
+}
+
+fn find(node: &Node, call: &mut Call) -> Result<Found, NotRunReason> {
     if node.board.configuration.read().is_none() {
         return Err(NotRunReason::NoConfiguration);
     }
@@ -93,13 +109,14 @@
         return Err(NotRunReason::BadRequest);
     }
     let routes = node.board.routes.read();
-    let (service, kind) = routes.find(&call.host, &call.method, call.path())?;
-    match (kind.token, &call.token) {
+    let left = call.deadline.map(|d| d.instant().micros_since(call.began));
+    let found = routes.find(&call.host, &call.method, call.path(), left)?;
+    match (found.kind.token, &call.token) {
         (TokenRule::Ignored, _) => call.token = None,
         (TokenRule::Needed, None) => return Err(NotRunReason::TokenNeeded),
         (TokenRule::Accepted | TokenRule::Needed, _) => {}
     }
-    Ok((service, kind))
+    Ok(found)
 }
 
 /// Refuse a call of which this entry sent nothing.
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -14,6 +14,7 @@
 use crate::gate::GateRequest;
 use crate::metrics::Counted;
 use mustardtiller_core::Admission;
+use mustardtiller_core::CallerName;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Forecast;
 use mustardtiller_core::NotRunReason;
@@ -22,6 +23,7 @@
 use mustardtiller_core::Urgency;
 use mustardtiller_core::WaitQueue;
 use mustardtiller_core::Waiter;
+use mustardtiller_core::Wish;
 
 /// Waiters a slot, in the gate's queue.
 const WAITERS_PER_SLOT: u32 = 2;
@@ -64,14 +66,15 @@
 struct Ask {
     caller: Arc<CallerUse>,
     urgency: Urgency,
-    start_by: Deadline,
-    deadline: Deadline,
+    priority: u8,
+    wish: Wish,
     reply: Sender<Result<Permit, NotRunReason>>,
 }
 
 #[derive(Debug)]
 struct Ticket {
     caller: Arc<CallerUse>,
+    limit: u32,
     reply: Sender<Result<Permit, NotRunReason>>,
 }
 
@@ -110,14 +113,18 @@
         if node.refuses_new_work() {
             return Err(NotRunReason::Leaving);
         }
-        let now = node.clock.now();
-        let forecast = gate.forecast(req.priority, now);
-        if let Admission::Refuse(reason) = admission(node, &forecast, req) {
-            return Err(reason);
-        }
+        let forecast = gate.forecast(req.priority, node.clock.now());
         let caller = Arc::clone(gate.callers.read().find(&req.caller));
-        if gate.waiting() == 0 && gate.try_take() {
-            return Ok(Permit::new(node, caller));
+        if gate.waiting() == 0 {
+            match decide(node, &forecast, &wish(req), 0) {
+                Admission::Refuse(reason) => return Err(reason),
+                Admission::Start if gate.try_take(forecast.limit()) => {
+                    return Ok(Permit::new(node, caller));
+                }
+                Admission::Start | Admission::Wait => {}
+            }
+        } else if req.patience == Patience::None {
+            return Err(NotRunReason::Busy);
         }
         node.metrics.count(Counted::Queued);
         let urgency = if req.urgent {
@@ -126,12 +133,11 @@
             Urgency::Ordinary
         };
         let (reply, answer) = bounded(1);
-        let service = forecast.service_micros;
         let ask = Ask {
             caller,
             urgency,
-            start_by: Deadline::at(req.target.instant().minus_micros(service)),
-            deadline: req.deadline,
+            priority: req.priority,
+            wish: wish(req),
             reply,
         };
         let _ = self.asks.try_send(ask);
@@ -139,14 +145,27 @@
     }
 }
 
+const fn wish(req: &GateRequest) -> Wish {
+    Wish {
+        patience: req.patience,
+        target: req.target,
+        deadline: req.deadline,
+        returned: req.returned,
+    }
+}
+
 /// Decide by the forecast, where upstreams register themselves.
 ///
 /// Where operators name upstreams, kinds say no target, and the queue alone decides.
-fn admission(node: &Node, forecast: &Forecast, req: &GateRequest) -> Admission {
-    if node.settings.discovery.is_none() && req.patience == Patience::Queue {
-        return Admission::Take;
+fn decide(node: &Node, forecast: &Forecast, wish: &Wish, ahead: u32) -> Admission {
+    if node.settings.discovery.is_some() || wish.patience == Patience::None {
+        return forecast.admission(wish, ahead);
+    }
+    if ahead == 0 && forecast.running < forecast.limit {
+        Admission::Start
+    } else {
+        Admission::Wait
     }
-    forecast.admission(req.patience, req.target, req.deadline)
 }
 
 impl Default for AdmissionDesk {
@@ -186,20 +205,33 @@
 }
 
 fn enqueue(node: &Node, queue: &mut WaitQueue<Ticket>, ask: Ask) {
-    let capacity = (node.board.gate.limit() * WAITERS_PER_SLOT).max(LEAST_QUEUE);
+    let gate = &node.board.gate;
+    let capacity = (gate.limit() * WAITERS_PER_SLOT).max(LEAST_QUEUE);
     queue.set_capacity(capacity as usize);
+    let forecast = gate.forecast(ask.priority, node.clock.now());
+    let target = ask.wish.target.instant();
+    let start_by = Deadline::at(target.minus_micros(forecast.service_micros));
+    let last_start = ask.wish.deadline.instant();
+    let last_start = last_start.minus_micros(forecast.least_service_micros());
+    let ahead = queue.ahead_of(start_by);
+    if let Admission::Refuse(reason) = decide(node, &forecast, &ask.wish, ahead) {
+        // A requester that has gone needs no answer.
+        let _ = ask.reply.try_send(Err(reason));
+        return;
+    }
     let waiter = Waiter {
         caller: ask.caller.name.clone(),
         weight: ask.caller.share,
         urgency: ask.urgency,
-        start_by: ask.start_by,
-        deadline: ask.deadline,
+        start_by,
+        deadline: Deadline::at(last_start),
         ticket: Ticket {
             caller: ask.caller,
+            limit: forecast.limit(),
             reply: ask.reply,
         },
     };
-    node.board.gate.add_waiting(1);
+    gate.add_waiting(1);
     if let Queued::Refused(full) = queue.push(waiter) {
         refuse(node, &full.ticket, full.reason);
     }
@@ -217,9 +249,12 @@
         }
     }
     let callers = node.board.gate.callers.share();
-    while !queue.is_empty() && node.board.gate.try_take() {
-        let next = queue.pop(|name| callers.find(name.as_str()).in_use());
-        let ticket = next.expect("the queue is not empty");
+    let in_use = |name: &CallerName| callers.find(name.as_str()).in_use();
+    while let Some(next) = queue.peek(in_use) {
+        if !node.board.gate.try_take(next.ticket.limit) {
+            break;
+        }
+        let ticket = queue.pop(in_use).expect("the queue has a next waiter");
         node.board.gate.sub_waiting(1);
         let permit = Permit::new(node, Arc::clone(&ticket.caller));
         // A requester that has gone drops the permit, which frees the slot.
--- a/crates/mustardtiller/src/gate/request.rs
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -23,6 +23,8 @@
     pub priority: u8,
     /// It may run more than once.
     pub idempotent: bool,
+    /// Its caller was refused before and came back.
+    pub returned: bool,
     /// How far it may be kept waiting here.
     pub patience: Patience,
     /// The HTTP method.
@@ -64,6 +66,7 @@
             urgent: self.urgent,
             priority: self.priority,
             idempotent: self.idempotent,
+            returned: self.returned,
             patience: self.patience,
             method: self.method.clone(),
             uri: self.uri.clone(),
--- a/crates/mustardtiller/src/link/incoming.rs
+++ b/crates/mustardtiller/src/link/incoming.rs
@@ -42,6 +42,7 @@
         urgent: head.urgent,
         priority: head.priority,
         idempotent: head.idempotent,
+        returned: head.returned,
         patience: if head.may_wait {
             Patience::Queue
         } else {
--- a/crates/mustardtiller/src/upstream/check.rs
+++ b/crates/mustardtiller/src/upstream/check.rs
@@ -5,7 +5,6 @@
 
 use crate::http::Dialect;
 use crate::http::Proof;
-use mustardtiller_core::NotRunReason;
 
 /// Statuses by which an upstream says that a request did not run, if it proves that.
 const REFUSING_STATUSES: &[u16] = &[400, 408, 421, 429, 503];
@@ -21,8 +20,10 @@
 pub enum AnswerCheck {
     /// The upstream's own answer.
     Own,
-    /// The upstream did not run the request.
-    NotRun(NotRunReason),
+    /// The upstream refused the request and did not run it.
+    Refused,
+    /// Another upstream has the address, and did not run the request.
+    Misdirected,
     /// It belongs to another request, or proves nothing.
     Foreign,
 }
@@ -45,10 +46,10 @@
         return AnswerCheck::Foreign;
     }
     if status == MISDIRECTED {
-        return AnswerCheck::NotRun(NotRunReason::WrongUpstream);
+        return AnswerCheck::Misdirected;
     }
     if headers.contains_key(dialect.not_run) && REFUSING_STATUSES.contains(&status) {
-        return AnswerCheck::NotRun(NotRunReason::UpstreamShed);
+        return AnswerCheck::Refused;
     }
     // A promise that the upstream does not prove is none, and would be passed on as one.
     let promises = PROMISING_STATUSES.contains(&status);
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -92,11 +92,10 @@
     let check = check_answer(&node.dialect, id, head.status, response.headers());
     let verdict = match check {
         AnswerCheck::Own => None,
-        AnswerCheck::NotRun(reason) => {
-            if reason == NotRunReason::WrongUpstream {
-                node.board.local_doubt.notify(1);
-            }
-            Some(Verdict::NotRun(reason))
+        AnswerCheck::Refused => Some(Verdict::NotRun(NotRunReason::UpstreamShed)),
+        AnswerCheck::Misdirected => {
+            node.board.local_doubt.notify(1);
+            Some(Verdict::NotRun(NotRunReason::UpstreamShed))
         }
         AnswerCheck::Foreign => Some(Verdict::Unknown(UnknownReason::BadAnswer)),
     };
@@ -285,7 +284,9 @@
     let load = headers.get(node.dialect.load);
     let load = load.and_then(|load| load.to_str().ok());
     if let Some(load) = load.and_then(node.dialect.read_load) {
-        node.board.gate.set_work_percent(load.work_percent, node.clock.now());
+        node.board
+            .gate
+            .set_work_percent(load.work_percent, node.clock.now());
     }
 }
 
--- a/crates/mustardtillerd/src/main.rs
+++ b/crates/mustardtillerd/src/main.rs
@@ -90,7 +90,8 @@
     start_logger(settings.level)?;
     let mut random = [0; 16];
     getrandom::fill(&mut random).map_err(|e| e.to_string())?;
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| e.to_string())?;
+    let signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| e.to_string())?;
     let daemon = start(settings, u128::from_le_bytes(random)).map_err(|e| e.to_string())?;
     let node = Arc::clone(daemon.node());
     let path = path.to_owned();
