--- a/crates/mustardtiller-config/src/model/types.rs
+++ b/crates/mustardtiller-config/src/model/types.rs
@@ -1,5 +1,8 @@
 //! The objects that operators describe.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -184,6 +187,14 @@
 }
 
 impl Kind {
+    /// Return a digest of the name, the same in every daemon.
+    #[must_use]
+    pub fn digest(&self) -> u32 {
+        let mut hasher = DefaultHasher::new();
+        self.name.hash(&mut hasher);
+        hasher.finish() as u32
+    }
+
     /// Report whether a request with this method and path is of this kind.
     ///
     /// A kind without methods takes every method.
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -72,6 +72,7 @@
         caller: "other".to_owned(),
         urgent: false,
         priority: 1,
+        kind_digest: 5,
         idempotent: false,
         may_wait: true,
         returned: false,
--- a/crates/mustardtiller-wire/src/frame/head.rs
+++ b/crates/mustardtiller-wire/src/frame/head.rs
@@ -88,6 +88,8 @@
     pub urgent: bool,
     /// Rank among kinds of request; zero goes first.
     pub priority: u8,
+    /// A digest of the kind's name, by which the gate tells service times apart.
+    pub kind_digest: u32,
     /// It may run more than once.
     pub idempotent: bool,
     /// The HTTP method.
--- a/crates/mustardtiller-wire/tests/frame_codec.rs
+++ b/crates/mustardtiller-wire/tests/frame_codec.rs
@@ -28,6 +28,7 @@
             caller: "c".to_owned(),
             urgent: false,
             priority: 1,
+            kind_digest: 5,
             idempotent: true,
             may_wait: true,
             returned: false,
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -15,8 +15,8 @@
 /// Work that takes as long as usual, in percent.
 const USUAL_WORK_PERCENT: u32 = 100;
 
-/// Ranks of requests whose service times are kept apart; later ones share the last.
-const PRIORITIES: usize = 4;
+/// Service times that are kept apart; kinds whose digests meet share one.
+const KINDS: usize = 256;
 
 /// Service time assumed before the first answer, in microseconds.
 const FIRST_SERVICE_MICROS: u32 = 100_000;
@@ -51,7 +51,7 @@
     registered: AtomicBool,
     work_percent: AtomicU32,
     work_heard: AtomicU64,
-    service_micros: [AtomicU32; PRIORITIES],
+    service_micros: [AtomicU32; KINDS],
     mean_micros: AtomicU32,
     peak_in_flight: AtomicU32,
 }
@@ -77,7 +77,7 @@
             registered: AtomicBool::new(false),
             work_percent: AtomicU32::new(USUAL_WORK_PERCENT),
             work_heard: AtomicU64::new(0),
-            service_micros: std::array::from_fn(|_| AtomicU32::new(FIRST_SERVICE_MICROS)),
+            service_micros: std::array::from_fn(|_| AtomicU32::new(0)),
             mean_micros: AtomicU32::new(FIRST_SERVICE_MICROS),
             peak_in_flight: AtomicU32::new(0),
         }
@@ -194,26 +194,31 @@
         self.work_percent.load(Ordering::Relaxed)
     }
 
-    /// Return what is known when a request of this rank arrives.
+    /// Return what is known when a request of a kind arrives.
     #[must_use]
-    pub fn forecast(&self, priority: u8, now: Instant) -> Forecast {
-        let service = &self.service_micros[rank(priority)];
+    pub fn forecast(&self, kind_digest: u32, now: Instant) -> Forecast {
+        let mean_micros = self.mean_micros.load(Ordering::Relaxed);
+        let service_micros = match self.service_micros[slot_of(kind_digest)].load(Ordering::Relaxed)
+        {
+            0 => mean_micros,
+            known => known,
+        };
         Forecast {
             now,
             running: self.in_flight(),
             waiting: self.waiting(),
             limit: self.limit(),
             slots: self.slots.load(Ordering::SeqCst),
-            service_micros: u64::from(service.load(Ordering::Relaxed)),
-            mean_micros: u64::from(self.mean_micros.load(Ordering::Relaxed)),
+            service_micros: u64::from(service_micros),
+            mean_micros: u64::from(mean_micros),
             work_percent: self.work_percent(now),
         }
     }
 
     /// Learn from a request that the upstream completed.
-    pub fn served(&self, priority: u8, micros: u64) {
+    pub fn served(&self, kind_digest: u32, micros: u64) {
         let micros = micros.min(u64::from(u32::MAX)) as u32;
-        smooth(&self.service_micros[rank(priority)], micros);
+        smooth(&self.service_micros[slot_of(kind_digest)], micros);
         smooth(&self.mean_micros, micros);
     }
 
@@ -262,14 +267,18 @@
     }
 }
 
-fn rank(priority: u8) -> usize {
-    usize::from(priority).min(PRIORITIES - 1)
+const fn slot_of(kind_digest: u32) -> usize {
+    kind_digest as usize % KINDS
 }
 
 /// Move a smoothed time by one more; a lost update of two at once does no harm.
 fn smooth(smoothed: &AtomicU32, micros: u32) {
     let old = smoothed.load(Ordering::Relaxed);
     let step = old.abs_diff(micros).div_ceil(SERVICE_DIVISOR);
-    let new = if micros > old { old + step } else { old - step };
+    let new = match old {
+        0 => micros,
+        _ if micros > old => old + step,
+        _ => old - step,
+    };
     smoothed.store(new, Ordering::Relaxed);
 }
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -250,6 +250,7 @@
         caller: call.caller.clone(),
         urgent: cx.kind.urgent,
         priority: cx.kind.priority,
+        kind_digest: cx.kind.digest(),
         idempotent: cx.kind.idempotent,
         may_wait: cx.patience == Patience::Queue,
         returned: cx.returned,
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -66,7 +66,7 @@
 struct Ask {
     caller: Arc<CallerUse>,
     urgency: Urgency,
-    priority: u8,
+    kind_digest: u32,
     wish: Wish,
     reply: Sender<Result<Permit, NotRunReason>>,
 }
@@ -113,7 +113,7 @@
         if node.refuses_new_work() {
             return Err(NotRunReason::Leaving);
         }
-        let forecast = gate.forecast(req.priority, node.clock.now());
+        let forecast = gate.forecast(req.kind_digest, node.clock.now());
         let caller = Arc::clone(gate.callers.read().find(&req.caller));
         if gate.waiting() == 0 {
             match decide(node, &forecast, &wish(req), 0) {
@@ -136,7 +136,7 @@
         let ask = Ask {
             caller,
             urgency,
-            priority: req.priority,
+            kind_digest: req.kind_digest,
             wish: wish(req),
             reply,
         };
@@ -208,7 +208,7 @@
     let gate = &node.board.gate;
     let capacity = (gate.limit() * WAITERS_PER_SLOT).max(LEAST_QUEUE);
     queue.set_capacity(capacity as usize);
-    let forecast = gate.forecast(ask.priority, node.clock.now());
+    let forecast = gate.forecast(ask.kind_digest, node.clock.now());
     let target = ask.wish.target.instant();
     let start_by = Deadline::at(target.minus_micros(forecast.service_micros));
     let last_start = ask.wish.deadline.instant();
--- a/crates/mustardtiller/src/gate/request.rs
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -21,6 +21,8 @@
     pub urgent: bool,
     /// Rank among kinds of request; zero goes first.
     pub priority: u8,
+    /// Tells the service times of kinds apart.
+    pub kind_digest: u32,
     /// It may run more than once.
     pub idempotent: bool,
     /// Its caller was refused before and came back.
@@ -65,6 +67,7 @@
             caller: self.caller.clone(),
             urgent: self.urgent,
             priority: self.priority,
+            kind_digest: self.kind_digest,
             idempotent: self.idempotent,
             returned: self.returned,
             patience: self.patience,
--- a/crates/mustardtiller/src/link/incoming.rs
+++ b/crates/mustardtiller/src/link/incoming.rs
@@ -41,6 +41,7 @@
         caller: head.caller,
         urgent: head.urgent,
         priority: head.priority,
+        kind_digest: head.kind_digest,
         idempotent: head.idempotent,
         returned: head.returned,
         patience: if head.may_wait {
--- a/crates/mustardtiller/src/upstream/body.rs
+++ b/crates/mustardtiller/src/upstream/body.rs
@@ -103,7 +103,7 @@
     pub(super) sender: Option<SendRequest<RequestBody>>,
     pub(super) deadline: Deadline,
     pub(super) began: Instant,
-    pub(super) priority: u8,
+    pub(super) kind_digest: u32,
     pub(super) permit: Option<Permit>,
 }
 
@@ -140,7 +140,7 @@
         if self.permit.take().is_some() {
             let micros = self.node.clock.now().micros_since(self.began);
             self.node.board.gate.completed(micros, false);
-            self.node.board.gate.served(self.priority, micros);
+            self.node.board.gate.served(self.kind_digest, micros);
         }
         if let Some(sender) = self.sender.take() {
             put_back(&self.node, sender);
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -61,7 +61,7 @@
     permit: Permit,
 ) -> GateAnswer {
     let deadline = req.deadline;
-    let priority = req.priority;
+    let kind_digest = req.kind_digest;
     let began = node.clock.now();
     let head_only = req.method == "HEAD";
     let request_id = req.header(node.dialect.request_id).cloned();
@@ -109,7 +109,7 @@
         sender: Some(sender),
         deadline,
         began,
-        priority,
+        kind_digest,
         permit: Some(permit),
     };
     match body.incoming.size_hint().exact() {
