--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -1,6 +1,7 @@
 //! What a gate admits: its concurrency limit and its short queue.
 
 mod forecast;
+mod knee;
 mod limiter;
 mod queue;
 
@@ -8,6 +9,9 @@
 pub use forecast::Forecast;
 pub use forecast::Patience;
 pub use forecast::Wish;
+pub use knee::Band;
+pub use knee::Knee;
+pub use knee::KneeWindow;
 pub use limiter::Limiter;
 pub use limiter::LimiterBounds;
 pub use limiter::LimiterWindow;
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -7,8 +7,11 @@
 
 use crate::board::CallerUses;
 use crate::board::Snapshot;
+use mustardtiller_core::Band;
 use mustardtiller_core::Forecast;
 use mustardtiller_core::Instant;
+use mustardtiller_core::Knee;
+use mustardtiller_core::KneeWindow;
 use mustardtiller_core::LimiterWindow;
 use mustardtiller_wire::LoadReport;
 
@@ -27,6 +30,30 @@
 /// Age from which what an upstream said of its speed no longer counts, in microseconds.
 const WORK_FRESH_MICROS: u64 = 100_000;
 
+/// Longest service time that is compared, in thousandths of the usual.
+const MAX_RELATIVE_MILLI: u64 = 4_000;
+
+/// Service times in one band, as atomics.
+#[derive(Debug, Default)]
+struct BandCell {
+    sum_milli: AtomicU64,
+    count: AtomicU64,
+}
+
+impl BandCell {
+    fn add(&self, milli: u64) {
+        self.sum_milli.fetch_add(milli, Ordering::Relaxed);
+        self.count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn take(&self) -> Band {
+        Band {
+            sum_milli: self.sum_milli.swap(0, Ordering::Relaxed),
+            count: self.count.swap(0, Ordering::Relaxed),
+        }
+    }
+}
+
 /// The gate's state.
 ///
 /// `limit` is written by the limiter controller, the leaving flags by the
@@ -53,6 +80,8 @@
     work_heard: AtomicU64,
     service_micros: [AtomicU32; KINDS],
     mean_micros: AtomicU32,
+    low: BandCell,
+    high: BandCell,
     peak_in_flight: AtomicU32,
 }
 
@@ -79,6 +108,8 @@
             work_heard: AtomicU64::new(0),
             service_micros: std::array::from_fn(|_| AtomicU32::new(0)),
             mean_micros: AtomicU32::new(FIRST_SERVICE_MICROS),
+            low: BandCell::default(),
+            high: BandCell::default(),
             peak_in_flight: AtomicU32::new(0),
         }
     }
@@ -216,7 +247,18 @@
     }
 
     /// Learn from a request that the upstream completed.
-    pub fn served(&self, kind_digest: u32, micros: u64) {
+    ///
+    /// `running` is how many ran, this one included, when it began.
+    pub fn served(&self, kind_digest: u32, micros: u64, running: u32, now: Instant) {
+        let usual = self.service_micros[slot_of(kind_digest)].load(Ordering::Relaxed);
+        // What other work on the host does to an upstream tells nothing of its own limit.
+        if usual > 0 && self.work_percent(now) == USUAL_WORK_PERCENT {
+            let relative = (micros * 1_000 / u64::from(usual)).min(MAX_RELATIVE_MILLI);
+            let between = running.midpoint(self.in_flight());
+            let full = between > Knee::band(self.slots.load(Ordering::Relaxed));
+            let band = if full { &self.high } else { &self.low };
+            band.add(relative);
+        }
         let micros = micros.min(u64::from(u32::MAX)) as u32;
         smooth(&self.service_micros[slot_of(kind_digest)], micros);
         smooth(&self.mean_micros, micros);
@@ -246,6 +288,14 @@
         }
     }
 
+    /// Take what was seen of full and less full times. For the limiter controller.
+    pub fn take_knee_window(&self) -> KneeWindow {
+        KneeWindow {
+            low: self.low.take(),
+            high: self.high.take(),
+        }
+    }
+
     /// Return the load to report to entries.
     #[must_use]
     pub fn report(&self, now: Instant, closing: bool) -> LoadReport {
--- a/crates/mustardtiller/src/controllers/limiter.rs
+++ b/crates/mustardtiller/src/controllers/limiter.rs
@@ -5,18 +5,24 @@
 use smol::future;
 
 use crate::daemon::Node;
+use crate::events::Event;
+use mustardtiller_core::Knee;
 use mustardtiller_core::Limiter;
 use mustardtiller_core::LimiterBounds;
 
 /// Time between two steps, in milliseconds.
 const STEP_MS: u64 = 100;
 
+/// Time between two looks at how an upstream fares when it is full, in milliseconds.
+const KNEE_STEP_MS: u64 = 500;
+
 /// Share of the slots below which the limit does not fall, as a divisor.
 const FLOOR_DIVISOR: u32 = 2;
 
 /// Keep the gate's limit.
 pub async fn control_limiter(node: Arc<Node>) {
     let mut limiter = Limiter::new(LimiterBounds { floor: 1, slots: 1 });
+    let mut knee = Knee::new(1);
     let mut slots = 0;
     loop {
         let changed = node.limits_changed.listen();
@@ -24,15 +30,20 @@
             && upstream.slots != slots
         {
             slots = upstream.slots;
+            knee = Knee::new(slots);
             let floor = (slots / FLOOR_DIVISOR).max(1);
             limiter = Limiter::new(LimiterBounds { floor, slots });
         }
-        if let Some(discovery) = &node.settings.discovery {
-            let filled = slots * discovery.fill_percent / 100;
-            node.board.gate.set_slots(slots);
-            node.board.gate.set_limit(filled);
-            node.admission.wake();
-            changed.await;
+        if node.settings.discovery.is_some() {
+            let gate = &node.board.gate;
+            let filled = knee.step(gate.take_knee_window(), node.clock.now());
+            gate.set_slots(slots);
+            if gate.limit() != filled {
+                Event::SlotsFilled.log(format_args!("{filled} of {slots}"));
+                gate.set_limit(filled);
+                node.admission.wake();
+            }
+            future::or(changed, node.clock.sleep_millis(KNEE_STEP_MS)).await;
             continue;
         }
         let before = node.board.gate.limit();
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -113,6 +113,8 @@
     UpstreamDown = 406 Warn "own upstream down",
     /// The upstream beside this daemon can be reached again.
     UpstreamUp = 407 Info "own upstream up",
+    /// The gate fills another number of the upstream's slots than before.
+    SlotsFilled = 408 Info "slots filled",
     /// A caller's request was malformed.
     RequestMalformed = 500 Info "request malformed",
 );
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -50,9 +50,6 @@
     pub service: ServiceName,
     /// When daemons of one place read for each other.
     pub turn: TurnRule,
-    /// Share of an upstream's slots that its gate fills, in percent; some
-    /// upstreams slow down when they are nearly full.
-    pub fill_percent: u32,
     /// Price of a request to another place, in microseconds of waiting.
     pub far_micros: u32,
     /// Further price for each kilobyte of its body, in microseconds of waiting.
@@ -298,7 +295,6 @@
         lapse_ms: fields.number_or("lapse_ms", default.lapse_ms, 0..=MAX_MILLIS),
         ..default
     };
-    let fill_percent = fields.number_or("fill_percent", MAX_PERCENT, 1..=MAX_PERCENT) as u32;
     let far_micros = fields.number_or("far_us", 0, 0..=MAX_FAR_MICROS) as u32;
     let far_micros_per_kb = fields.number_or("far_us_per_kb", 0, 0..=MAX_FAR_MICROS) as u32;
     fields.finish();
@@ -306,7 +302,6 @@
         upstream: upstream?,
         service: service?.as_str().into(),
         turn,
-        fill_percent,
         far_micros,
         far_micros_per_kb,
     })
--- a/crates/mustardtiller/src/upstream/body.rs
+++ b/crates/mustardtiller/src/upstream/body.rs
@@ -104,6 +104,7 @@
     pub(super) deadline: Deadline,
     pub(super) began: Instant,
     pub(super) kind_digest: u32,
+    pub(super) running: u32,
     pub(super) permit: Option<Permit>,
 }
 
@@ -140,7 +141,9 @@
         if self.permit.take().is_some() {
             let micros = self.node.clock.now().micros_since(self.began);
             self.node.board.gate.completed(micros, false);
-            self.node.board.gate.served(self.kind_digest, micros);
+            let now = self.node.clock.now();
+            let gate = &self.node.board.gate;
+            gate.served(self.kind_digest, micros, self.running, now);
         }
         if let Some(sender) = self.sender.take() {
             put_back(&self.node, sender);
