--- a/crates/mustardtiller-core/src/admit/knee.rs
+++ b/crates/mustardtiller-core/src/admit/knee.rs
@@ -8,13 +8,13 @@
 const BAND_PERCENT: u32 = 80;
 
 /// Answers in each band without which nothing is concluded.
-const LEAST_SAMPLES: u64 = 60;
+const LEAST_SAMPLES: u64 = 100;
 
 /// Answers in a band at which older ones begin to count for less.
 const MOST_SAMPLES: u64 = 400;
 
 /// First time for which a limit holds before it is tried again, in milliseconds; doubles.
-const FIRST_HOLD_MS: u64 = 5_000;
+const FIRST_HOLD_MS: u64 = 20_000;
 
 /// Longest time for which a limit holds, in milliseconds.
 const LONGEST_HOLD_MS: u64 = 60_000;
@@ -105,7 +105,10 @@
         self.slots
     }
 
-    /// Report whether a full upstream takes longer by more than it runs at once.
+    /// Report whether filling the last slots is not worth the slower answers.
+    ///
+    /// An upstream that takes longer by as much as it runs more at once answers
+    /// no more than before, and each answer later; half of that is not worth it.
     fn loses_when_full(&self) -> bool {
         let KneeWindow { low, high } = self.seen;
         if low.count < LEAST_SAMPLES || high.count < LEAST_SAMPLES {
@@ -113,6 +116,7 @@
         }
         let low_mean = u128::from(low.sum_milli) * u128::from(high.count);
         let high_mean = u128::from(high.sum_milli) * u128::from(low.count);
-        high_mean * u128::from(Self::band(self.slots)) > low_mean * u128::from(self.slots)
+        let band = Self::band(self.slots);
+        high_mean * u128::from(band * 2) > low_mean * u128::from(self.slots + band)
     }
 }
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -254,8 +254,7 @@
         // What other work on the host does to an upstream tells nothing of its own limit.
         if usual > 0 && self.work_percent(now) == USUAL_WORK_PERCENT {
             let relative = (micros * 1_000 / u64::from(usual)).min(MAX_RELATIVE_MILLI);
-            let between = running.midpoint(self.in_flight());
-            let full = between > Knee::band(self.slots.load(Ordering::Relaxed));
+            let full = running > Knee::band(self.slots.load(Ordering::Relaxed));
             let band = if full { &self.high } else { &self.low };
             band.add(relative);
         }
