feat(events): one JSON line for each decision on a failed or late request; histograms

Cause: on-call engineers have only logs and metrics, and a line of text named no request.

Tests that read the log read JSON now, as strictly.

--- a/crates/mustardtiller-core/tests/wait_queue.rs
+++ b/crates/mustardtiller-core/tests/wait_queue.rs
@@ -88,6 +88,7 @@
         caller: CallerName::new(caller),
         weight: 1,
         urgency: Urgency::Ordinary,
+        start_by: deadline,
         deadline,
         ticket,
     };
@@ -117,6 +118,7 @@
             caller: CallerName::new(name),
             weight: 1,
             urgency: Urgency::Ordinary,
+            start_by: Deadline::at(Instant::from_micros(ticket + 500)),
             deadline: Deadline::at(Instant::from_micros(ticket + 500)),
             ticket: name.to_owned(),
         });
--- a/crates/mustardtiller-standin/tests/config_spread.rs
+++ b/crates/mustardtiller-standin/tests/config_spread.rs
@@ -80,7 +80,7 @@
     let taken = |index| {
         fleet
             .log(index)
-            .matches("E200 configuration accepted: 1@")
+            .matches(r#""event":"E200","text":"configuration accepted","detail":"1@"#)
             .count()
     };
     let before: Vec<_> = (0..4).map(taken).collect();
@@ -92,7 +92,7 @@
     let taken = |index| {
         fleet
             .log(index)
-            .matches("E200 configuration accepted: 1@")
+            .matches(r#""event":"E200","text":"configuration accepted","detail":"1@"#)
             .count()
     };
     assert_eq!(
@@ -119,7 +119,7 @@
         wait_for("the greater of both everywhere", || {
             let log = fleet.log(index);
             let last = log.lines().rfind(|line| line.contains("E200"));
-            last.is_some_and(|line| line.ends_with(&winner))
+            last.is_some_and(|line| line.contains(&format!("\"{winner}\"")))
         });
     }
     let conflicts = |index| fleet.metric(index, "configs_conflicting_total") > 0.0;
--- a/crates/mustardtiller-standin/tests/util/mod.rs
+++ b/crates/mustardtiller-standin/tests/util/mod.rs
@@ -296,8 +296,8 @@
         let child = Command::new(daemon_program())
             .arg(&path)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log.expect("the log can be opened"))
+            .stdout(log.expect("the log can be opened"))
+            .stderr(Stdio::inherit())
             .spawn()
             .expect("the daemon can be started");
         self.daemons[index] = Some(child);
--- a/crates/mustardtiller-wire/src/frame/head.rs
+++ b/crates/mustardtiller-wire/src/frame/head.rs
@@ -77,6 +77,10 @@
 }
 
 /// The head of a request.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "facts of a request that are independent"
+)]
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct RequestHead {
--- a/crates/mustardtiller/src/controllers/limiter.rs
+++ b/crates/mustardtiller/src/controllers/limiter.rs
@@ -6,6 +6,7 @@
 
 use crate::daemon::Node;
 use crate::events::Event;
+use crate::events::LeftOutRecord;
 use mustardtiller_core::Knee;
 use mustardtiller_core::Limiter;
 use mustardtiller_core::LimiterBounds;
@@ -19,7 +20,7 @@
 /// Share of the slots below which the limit does not fall, as a divisor.
 const FLOOR_DIVISOR: u32 = 2;
 
-/// Keep the gate's limit.
+/// Keep the gate's limit, and tell of lines that were left out of the log.
 pub async fn control_limiter(node: Arc<Node>) {
     let mut limiter = Limiter::new(LimiterBounds { floor: 1, slots: 1 });
     let mut knee = Knee::new(1);
@@ -41,8 +42,13 @@
             if gate.limit() != filled {
                 Event::SlotsFilled.log(format_args!("{filled} of {slots}"));
                 gate.set_limit(filled);
+                node.metrics.slots_filled.set(i64::from(filled));
                 node.admission.wake();
             }
+            let left_out = node.lines.take_left_out();
+            if left_out > 0 {
+                Event::LinesLeftOut.record(&LeftOutRecord { lines: left_out });
+            }
             future::or(changed, node.clock.sleep_millis(KNEE_STEP_MS)).await;
             continue;
         }
--- a/crates/mustardtiller/src/controllers/registry.rs
+++ b/crates/mustardtiller/src/controllers/registry.rs
@@ -317,6 +317,8 @@
             Event::UpstreamUnregistered.log(name);
         }
         let hosts = self.hosts();
+        let registered = i64::try_from(self.held.len()).unwrap_or(i64::MAX);
+        self.node.metrics.registered.set(registered);
         self.node
             .board
             .registry
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -1,6 +1,9 @@
 //! What every part of one daemon shares.
 
 use std::fmt;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -23,6 +26,7 @@
 use crate::settings::Settings;
 use crate::upstream::UpstreamPool;
 use mustardtiller_config::Upstream;
+use mustardtiller_core::LineBudget;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_wire::LoadReport;
 
@@ -68,6 +72,8 @@
     pub pool: UpstreamPool,
     /// Notified when the configured slots may have changed.
     pub limits_changed: Signal,
+    /// Lines that may be logged of requests.
+    pub lines: LineBudget,
     executor: Arc<Executor<'static>>,
     seed: AtomicU64,
     sequence: AtomicU64,
@@ -77,7 +83,9 @@
     /// Join the parts.
     #[must_use]
     pub fn new(parts: NodeParts) -> Self {
+        let lines = LineBudget::new(parts.settings.request_lines, parts.clock.now());
         Self {
+            lines,
             board: parts.board,
             clock: parts.clock,
             metrics: parts.metrics,
@@ -153,6 +161,13 @@
         own.map_or(0, |(service, _)| service.measure_milli_per_second)
     }
 
+    /// Report whether a line about the request with this identity may be logged.
+    pub fn may_log(&self, id: &[u8]) -> bool {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        self.lines.try_take(hasher.finish(), self.clock.now())
+    }
+
     /// Report whether the gate takes no new work.
     #[must_use]
     pub fn refuses_new_work(&self) -> bool {
@@ -187,7 +202,7 @@
     ///
     /// The bounds of retries change at once. Addresses and names are those of
     /// this life of the process; others take effect when it starts again.
-    pub fn reload(&self, settings: Settings) {
+    pub fn reload(&self, settings: &Settings) {
         let bounds = settings.retries;
         Event::Reloaded.log(format_args!("retries {bounds:?}"));
         if *self.board.retries.read().as_ref() != bounds {
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::entry::hedge::hedged;
 use crate::entry::pick::PlacePrice;
 use crate::entry::pick::pick;
+use crate::entry::trace::Trace;
 use crate::metrics::Counted;
 use mustardtiller_config::Kind;
 use mustardtiller_config::TokenRule;
@@ -53,7 +54,9 @@
 /// Run a call and say what became of it.
 pub async fn dispatch(node: &Arc<Node>, mut call: Call) -> Outcome {
     node.metrics.count(Counted::Requests);
-    let result = route(node, &mut call).await;
+    let mut trace = Trace::default();
+    let result = route(node, &mut call, &mut trace).await;
+    trace.finish(node, &call, &result);
     match result {
         Ok(answer) => {
             node.metrics.count(Counted::Answered);
@@ -66,7 +69,7 @@
     }
 }
 
-async fn route(node: &Arc<Node>, call: &mut Call) -> Result<Answer, Refusal> {
+async fn route(node: &Arc<Node>, call: &mut Call, trace: &mut Trace) -> Result<Answer, Refusal> {
     let bound = call.token.clone();
     let found = find(node, call);
     let Found {
@@ -88,10 +91,11 @@
         retried: call.outer_retry,
         patience: Patience::Queue,
     };
+    trace.begin(&kind, &service.service.name, cx.target, cx.deadline);
     node.want_links(&service);
     match bound {
-        Some(token) => run_bound(cx, &service, &token, call).await,
-        None => run_free(cx, &service, call).await,
+        Some(token) => run_bound(cx, &service, &token, call, trace).await,
+        None => run_free(cx, &service, call, trace).await,
     }
 }
 
@@ -136,9 +140,10 @@
     service: &ServiceRoutes,
     token: &Token,
     call: &mut Call,
+    trace: &mut Trace,
 ) -> Result<Answer, Refusal> {
     if call.token.is_none() {
-        return run_free(cx, service, call).await;
+        return run_free(cx, service, call, trace).await;
     }
     let unreachable = Refusal::Unknown(UnknownReason::GateUnreachable);
     let candidate = service.find(&token.upstream).ok_or(unreachable)?;
@@ -217,6 +222,7 @@
     mut cx: AttemptCx<'_>,
     service: &ServiceRoutes,
     call: &mut Call,
+    trace: &mut Trace,
 ) -> Result<Answer, Refusal> {
     let place = PlacePrice::of(cx.node, call);
     let mut offers = Offers::new(offer_rule(cx, call, place));
@@ -235,10 +241,12 @@
             offers.skip_immediate();
             continue;
         };
+        let offer = trace.offer(cx, &candidate);
         let refusal = match hedged(cx, service, &candidate, call).await {
             Ok(answer) => return Ok(answer),
             Err(e) => e.refusal(),
         };
+        trace.refused(offer, refusal);
         offers.refused(patience);
         tried.note(&candidate.upstream.name, patience, refusal);
         let Some(reason) = may_go_on(cx, service, call, &tried, refusal) else {
--- a/crates/mustardtiller/src/entry/mod.rs
+++ b/crates/mustardtiller/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod hedge;
 mod pick;
 mod token;
+mod trace;
 
 pub use call::Answer;
 pub use call::AnswerPieces;
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -117,16 +117,43 @@
     SlotsFilled = 408 Info "slots filled",
     /// A caller's request was malformed.
     RequestMalformed = 500 Info "request malformed",
+    /// A call ended without the upstream's answer.
+    CallRefused = 510 Warn "call not answered",
+    /// A call was answered with an upstream's error.
+    CallFailed = 511 Warn "call answered with an error",
+    /// A call was answered after its target.
+    CallLate = 512 Info "call answered late",
+    /// The gate refused a request.
+    GateRefused = 520 Info "gate refused a request",
+    /// A request that the gate sent has no good end.
+    GateLost = 521 Warn "request sent without a good end",
+    /// Lines about requests were left out.
+    LinesLeftOut = 900 Warn "log lines left out",
 );
 
+impl EventLevel {
+    /// Return the level of the line.
+    #[must_use]
+    pub const fn filter(self) -> log::Level {
+        match self {
+            Self::Info => log::Level::Info,
+            Self::Warn => log::Level::Warn,
+            Self::Error => log::Level::Error,
+        }
+    }
+}
+
 impl Event {
-    /// Log the event with its particulars.
+    /// Log the event with its particulars as text.
     pub fn log(self, detail: impl Display) {
+        let detail = serde_json::Value::String(detail.to_string());
+        self.write(format_args!(",\"detail\":{detail}"));
+    }
+
+    /// Write a line with further fields, each behind a comma.
+    pub(super) fn write(self, fields: std::fmt::Arguments<'_>) {
         let (number, text) = (self.number(), self.text());
-        match self.level() {
-            EventLevel::Info => log::info!("E{number} {text}: {detail}"),
-            EventLevel::Warn => log::warn!("E{number} {text}: {detail}"),
-            EventLevel::Error => log::error!("E{number} {text}: {detail}"),
-        }
+        let level = self.level().filter();
+        log::log!(level, "\"event\":\"E{number}\",\"text\":\"{text}\"{fields}");
     }
 }
--- a/crates/mustardtiller/src/events/logger.rs
+++ b/crates/mustardtiller/src/events/logger.rs
@@ -1,31 +1,94 @@
-//! The process's logger.
+//! The process's logger: one JSON object a line, on standard output.
+
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
 
 use log::LevelFilter;
-use log4rs::append::console::ConsoleAppender;
-use log4rs::append::console::Target;
+use log::Record;
+use log4rs::append::Append;
 use log4rs::config::Appender;
 use log4rs::config::Config;
 use log4rs::config::Root;
+use log4rs::encode::Encode;
 use log4rs::encode::pattern::PatternEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
+
+/// One line an event. The message brings the event's own fields.
+const PATTERN: &str = "{{\"time\":\"{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)}\",\"level\":\"{l}\",{m}}}{n}";
+
+/// Lines that wait to be written; more are left out and counted.
+const MAX_WAITING: usize = 1_024;
+
+/// Writes lines on a thread of its own, so that a reader that is slow holds up no request.
+#[derive(Debug)]
+struct QueueAppender {
+    encoder: PatternEncoder,
+    lines: SyncSender<Vec<u8>>,
+    left_out: AtomicU64,
+}
 
-/// One line an event: time, level, text.
-const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f%z)(utc)} {l} {m}{n}";
+impl Append for QueueAppender {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let mut line = SimpleWriter(Vec::new());
+        self.encoder.encode(&mut line, record)?;
+        if self.lines.try_send(line.0).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let left_out = self.left_out.swap(0, Ordering::Relaxed);
+        if left_out > 0 {
+            let text = format!(
+                "{{\"level\":\"WARN\",\"event\":\"E900\",\"text\":\"log lines left out\",\"lines\":{left_out}}}\n"
+            );
+            if self.lines.try_send(text.into_bytes()).is_err() {
+                self.left_out.fetch_add(left_out, Ordering::Relaxed);
+            }
+        }
+        Ok(())
+    }
 
-/// Start logging to standard error at `level`.
+    fn flush(&self) {}
+}
+
+/// Start logging to standard output at `level`.
 ///
 /// # Errors
 ///
-/// Returns the cause as text if a logger runs already.
+/// Returns the cause as text if a logger runs already or no thread can be had.
 pub fn start_logger(level: LevelFilter) -> Result<(), String> {
-    let console = ConsoleAppender::builder()
-        .target(Target::Stderr)
-        .encoder(Box::new(PatternEncoder::new(PATTERN)))
-        .build();
+    let (lines, rx) = sync_channel(MAX_WAITING);
+    let writer = thread::Builder::new().name("log".to_owned());
+    writer
+        .spawn(move || write_lines(&rx))
+        .map_err(|e| e.to_string())?;
+    let appender = QueueAppender {
+        encoder: PatternEncoder::new(PATTERN),
+        lines,
+        left_out: AtomicU64::new(0),
+    };
     let config = Config::builder()
-        .appender(Appender::builder().build("console", Box::new(console)))
-        .build(Root::builder().appender("console").build(level))
+        .appender(Appender::builder().build("lines", Box::new(appender)))
+        .build(Root::builder().appender("lines").build(level))
         .map_err(|e| e.to_string())?;
     log4rs::init_config(config)
         .map(drop)
         .map_err(|e| e.to_string())
 }
+
+/// Write lines until the logger is gone or nobody reads them.
+fn write_lines(lines: &Receiver<Vec<u8>>) {
+    let mut out = std::io::stdout();
+    while let Ok(mut buf) = lines.recv() {
+        while let Ok(more) = lines.try_recv() {
+            buf.extend_from_slice(&more);
+        }
+        if out.write_all(&buf).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/mustardtiller/src/events/mod.rs
+++ b/crates/mustardtiller/src/events/mod.rs
@@ -2,7 +2,12 @@
 
 mod catalogue;
 mod logger;
+mod record;
 
 pub use catalogue::Event;
 pub use catalogue::EventLevel;
 pub use logger::start_logger;
+pub use record::CallRecord;
+pub use record::GateRecord;
+pub use record::LeftOutRecord;
+pub use record::OfferRecord;
--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -95,7 +95,7 @@
     let _ = socket.set_nodelay(true);
     let service = service_fn(|req| {
         let node = Arc::clone(&node);
-        async move { Ok::<_, Infallible>(Box::pin(respond(&node, req)).await) }
+        async move { Ok::<_, Infallible>(respond(&node, req).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -122,7 +122,7 @@
     let mut response = match req.uri().path() {
         READY_PATH => ready_response(closing),
         TOKEN_PATH => token_response(node, &req).await,
-        _ => call_response(node, req, done).await,
+        _ => Box::pin(call_response(node, req, done)).await,
     };
     if closing {
         let close = hyper::header::HeaderValue::from_static("close");
--- a/crates/mustardtiller/src/gate/request.rs
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -13,6 +13,10 @@
 use mustardtiller_wire::Header;
 
 /// A request for the upstream beside this daemon.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "facts of a request that are independent"
+)]
 #[derive(Debug)]
 pub struct GateRequest {
     /// The caller.
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 
 use crate::daemon::Node;
+use crate::events::Event;
+use crate::events::GateRecord;
 use crate::gate::GateAnswer;
 use crate::gate::GateBody;
 use crate::gate::GateRequest;
@@ -13,6 +15,8 @@
 use crate::metrics::Counted;
 use crate::upstream::exchange;
 use mustardtiller_core::Attempt;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Presented;
 use mustardtiller_core::Token;
@@ -66,14 +70,59 @@
 }
 
 async fn run(node: &Arc<Node>, unsent: Unsent, req: GateRequest) -> GateAnswer {
-    if req.deadline.has_passed(node.clock.now()) {
+    let began = node.clock.now();
+    let id = req.header(node.dialect.request_id).cloned();
+    let (kind_digest, deadline) = (req.kind_digest, req.deadline);
+    if deadline.has_passed(began) {
         return GateAnswer::refused(unsent.refuse(NotRunReason::DeadlinePassed));
     }
-    let permit = match node.admission.admit(node, &req).await {
-        Ok(permit) => permit,
-        Err(reason) => return GateAnswer::refused(unsent.refuse(reason)),
+    let admitted = node.admission.admit(node, &req).await;
+    node.metrics
+        .time_queue(node.clock.now().micros_since(began));
+    let sent = admitted.is_ok();
+    let answer = match admitted {
+        Ok(permit) => exchange(node, unsent, req, permit).await,
+        Err(reason) => GateAnswer::refused(unsent.refuse(reason)),
     };
-    exchange(node, unsent, req, permit).await
+    if let GateAnswer::Refused(verdict) = &answer {
+        let id = id.as_deref().unwrap_or(b"-");
+        if node.may_log(id) {
+            log_refusal(node, id, sent, *verdict, kind_digest, began, deadline);
+        }
+    }
+    answer
+}
+
+fn log_refusal(
+    node: &Node,
+    id: &[u8],
+    sent: bool,
+    verdict: Verdict,
+    kind_digest: u32,
+    began: Instant,
+    deadline: Deadline,
+) {
+    let now = node.clock.now();
+    let forecast = node.board.gate.forecast(kind_digest, now);
+    let local = node.own_upstream();
+    let (event, outcome, reason) = match verdict {
+        Verdict::NotRun(reason) => (Event::GateRefused, "not-run", reason.as_str()),
+        Verdict::Unknown(reason) => (Event::GateLost, "unknown", reason.as_str()),
+    };
+    event.record(&GateRecord {
+        id: &String::from_utf8_lossy(id),
+        upstream: local.as_ref().map_or("", |local| local.name.as_str()),
+        sent,
+        outcome,
+        reason,
+        running: forecast.running,
+        limit: forecast.limit(),
+        waiting: forecast.waiting,
+        service_ms: forecast.service_micros / 1_000,
+        work_percent: forecast.work_percent,
+        elapsed_ms: now.micros_since(began) / 1_000,
+        left_ms: deadline.remaining(now).as_millis() as u64,
+    });
 }
 
 /// Return a digest that tells apart two requests that use one token.
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
 use mustardtiller_core::NotRunReason;
@@ -97,8 +98,60 @@
     pub gate_in_flight: Gauge,
     /// The revision in force.
     pub revision: Gauge,
+    /// Upstreams that are registered.
+    pub registered: Gauge,
+    /// Slots of the upstream that the gate fills.
+    pub slots_filled: Gauge,
+    calls: Vec<Histogram>,
+    queue: Histogram,
+    upstream: Histogram,
 }
 
+/// How a call ended, as a label of its time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEnd {
+    /// Answered within its target.
+    InTime,
+    /// Answered later.
+    Late,
+    /// Answered with an upstream's error.
+    Error,
+    /// Not run.
+    NotRun,
+    /// Its outcome can't be known.
+    Unknown,
+}
+
+impl CallEnd {
+    const ALL: &'static [Self] = &[
+        Self::InTime,
+        Self::Late,
+        Self::Error,
+        Self::NotRun,
+        Self::Unknown,
+    ];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::InTime => "in-time",
+            Self::Late => "late",
+            Self::Error => "error",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Bounds of latency buckets, in seconds: a millisecond to the longest deadlines.
+const BUCKETS_S: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0,
+];
+
+/// Microseconds in a second.
+const SECOND_MICROS: f64 = 1_000_000.0;
+
+type EndLabels = [(&'static str, String); 1];
+
 type Labels = [(&'static str, String); 2];
 type RetryLabels = [(&'static str, String); 1];
 
@@ -135,6 +188,40 @@
             retries.get_or_create_owned(&labels)
         });
         let retries = retried.collect();
+        let times = Family::<EndLabels, Histogram>::new_with_constructor(histogram);
+        registry.register(
+            "call_seconds",
+            "Time of calls at the entry, by how they ended",
+            times.clone(),
+        );
+        let calls = CallEnd::ALL.iter().map(|end| {
+            let labels = [("end", end.as_str().to_owned())];
+            times.get_or_create_owned(&labels)
+        });
+        let calls = calls.collect();
+        let (queue, upstream) = (histogram(), histogram());
+        registry.register(
+            "gate_queue_seconds",
+            "Time from a request's arrival at the gate to its slot or refusal",
+            queue.clone(),
+        );
+        registry.register(
+            "gate_upstream_seconds",
+            "Time of answered requests at the upstream",
+            upstream.clone(),
+        );
+        let registered = Gauge::default();
+        let slots_filled = Gauge::default();
+        registry.register(
+            "registered_upstreams",
+            "Upstreams that are registered",
+            registered.clone(),
+        );
+        registry.register(
+            "gate_slots_filled",
+            "Slots of the upstream that the gate fills",
+            slots_filled.clone(),
+        );
         let entry_in_flight = Gauge::default();
         let caller_connections = Gauge::default();
         let gate_in_flight = Gauge::default();
@@ -165,9 +252,29 @@
             caller_connections,
             gate_in_flight,
             revision,
+            registered,
+            slots_filled,
+            calls,
+            queue,
+            upstream,
         }
     }
 
+    /// Record the time of a call.
+    pub fn time_call(&self, end: CallEnd, micros: u64) {
+        self.calls[end as usize].observe(micros as f64 / SECOND_MICROS);
+    }
+
+    /// Record the time until a request at the gate had a slot or a refusal.
+    pub fn time_queue(&self, micros: u64) {
+        self.queue.observe(micros as f64 / SECOND_MICROS);
+    }
+
+    /// Record the time of an answered request at the upstream.
+    pub fn time_upstream(&self, micros: u64) {
+        self.upstream.observe(micros as f64 / SECOND_MICROS);
+    }
+
     /// Count one.
     pub fn count(&self, counted: Counted) {
         self.add(counted, 1);
@@ -207,6 +314,10 @@
     }
 }
 
+fn histogram() -> Histogram {
+    Histogram::new(BUCKETS_S)
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
--- a/crates/mustardtiller/src/metrics/mod.rs
+++ b/crates/mustardtiller/src/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod counters;
 mod endpoint;
 
+pub use counters::CallEnd;
 pub use counters::Counted;
 pub use counters::Metrics;
 pub use endpoint::serve_metrics;
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -106,6 +106,8 @@
     pub threads: u64,
     /// Log level.
     pub level: LevelFilter,
+    /// Lines that may be logged of requests, a second.
+    pub request_lines: u32,
     /// Time between being withdrawn and closing the entry, in milliseconds.
     pub withdraw_ms: u64,
     /// Time a stop waits for work in flight, in milliseconds.
@@ -187,6 +189,7 @@
         let calls = fields.words("calls");
         let threads = fields.number_or("threads", 2, 1..=64);
         let level = fields.choice_or("log_level", LevelFilter::Info, LEVELS);
+        let request_lines = fields.number_or("request_lines_per_s", 40, 0..=100_000) as u32;
         let withdraw_ms = fields.number_or("withdraw_ms", 1_000, 0..=MAX_MILLIS);
         let stop_ms = fields.number_or("stop_ms", 30_000, 0..=MAX_MILLIS);
         fields.finish();
@@ -209,6 +212,7 @@
             calls,
             threads,
             level,
+            request_lines,
             withdraw_ms,
             stop_ms,
             head_ms: limits.head_ms,
--- a/crates/mustardtiller/src/upstream/body.rs
+++ b/crates/mustardtiller/src/upstream/body.rs
@@ -143,6 +143,7 @@
             self.node.board.gate.completed(micros, false);
             let now = self.node.clock.now();
             let gate = &self.node.board.gate;
+            self.node.metrics.time_upstream(micros);
             gate.served(self.kind_digest, micros, self.running, now);
         }
         if let Some(sender) = self.sender.take() {
--- a/crates/mustardtillerd/src/main.rs
+++ b/crates/mustardtillerd/src/main.rs
@@ -100,7 +100,7 @@
         while let Some(signal) = signals.next().await {
             match signal {
                 Ok(Signal::Hup) => match read_settings(&path) {
-                    Ok(settings) => node.reload(settings),
+                    Ok(settings) => node.reload(&settings),
                     Err(faults) => Event::ReloadRefused.log(faults.join("; ")),
                 },
                 _ => node.board.phase.advance(Phase::Withdrawn),
