perf(front): let refused callers come back after 20 to 60 ms

Cause: a caller that came back after 100 ms had too little of its target left and was refused again.

--- a/crates/mustardtiller/src/front/answer.rs
+++ b/crates/mustardtiller/src/front/answer.rs
@@ -27,7 +27,7 @@
     done: InService,
 ) -> Response<AnswerStream> {
     let mut response = match outcome {
-        Outcome::Refused(refusal) => refusal_response(&node.dialect, refusal),
+        Outcome::Refused(refusal) => refusal_response(node, refusal),
         Outcome::Answered(answer) => answer_response(node, answer, done),
     };
     if let Some(token) = token {
@@ -44,7 +44,7 @@
     Event::RequestMalformed.log(bad.wrong);
     let refusal = Attempt::begin().refuse(bad.reason).into();
     node.metrics.count_refusal(refusal);
-    refusal_response(&node.dialect, refusal)
+    refusal_response(node, refusal)
 }
 
 fn answer_response(node: &Arc<Node>, answer: Answer, done: InService) -> Response<AnswerStream> {
@@ -79,7 +79,7 @@
     builder.body(stream).unwrap_or_else(|_| {
         let refusal = Refusal::Unknown(UnknownReason::BadAnswer);
         node.metrics.count_refusal(refusal);
-        refusal_response(&node.dialect, refusal)
+        refusal_response(node, refusal)
     })
 }
 
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -4,7 +4,7 @@
 use hyper::Response;
 
 use super::body::AnswerStream;
-use crate::http::Dialect;
+use crate::daemon::Node;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::UnknownReason;
@@ -21,13 +21,21 @@
 /// Seconds after which a refused request may be tried again.
 const RETRY_AFTER_S: u32 = 1;
 
-/// The same where callers read fractions of a second, in milliseconds.
-const RETRY_AFTER_MS: u32 = 100;
+/// Least wait where callers read fractions of a second, in milliseconds: gates
+/// free a slot every few tens of milliseconds, and who returns later has less
+/// time left to be answered.
+const LEAST_RETRY_AFTER_MS: u32 = 20;
+
+/// Longest wait there, in milliseconds; draws in between spread those who return.
+const LONGEST_RETRY_AFTER_MS: u32 = 60;
+
+/// Milliseconds in a second.
+const SECOND_MS: f64 = 1_000.0;
 
 /// Turn a refusal into a response.
 ///
 /// The body is JSON: `{"outcome":"not-run","reason":"queue-full"}`.
-pub fn refusal_response(dialect: &Dialect, refusal: Refusal) -> Response<AnswerStream> {
+pub fn refusal_response(node: &Node, refusal: Refusal) -> Response<AnswerStream> {
     let (class, reason) = (refusal.class_text(), refusal.reason_text());
     let body = format!("{{\"outcome\":\"{class}\",\"reason\":\"{reason}\"}}\n");
     let mut builder = Response::builder()
@@ -37,8 +45,11 @@
         .header(RETRY_HEADER, "no")
         .header("content-type", "application/json");
     if may_try_later(refusal) {
-        builder = if dialect.fractional_retry {
-            let seconds = f64::from(RETRY_AFTER_MS) / 1_000.0;
+        builder = if node.dialect.fractional_retry {
+            let millis = node
+                .rng()
+                .u32(LEAST_RETRY_AFTER_MS..=LONGEST_RETRY_AFTER_MS);
+            let seconds = f64::from(millis) / SECOND_MS;
             builder.header("retry-after", seconds.to_string())
         } else {
             builder.header("retry-after", RETRY_AFTER_S)
--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -208,7 +208,7 @@
 fn refused(node: &Node, reason: NotRunReason) -> Response<AnswerStream> {
     let refusal = Attempt::begin().refuse(reason).into();
     node.metrics.count_refusal(refusal);
-    refusal_response(&node.dialect, refusal)
+    refusal_response(node, refusal)
 }
 
 fn plain(status: u16, text: String) -> Response<AnswerStream> {
