--- /dev/null
+++ b/crates/mustardtiller-core/tests/read_turns.rs
@@ -0,0 +1,138 @@
+//! Who reads the platform when, and what a registry keeps.
+
+use std::collections::HashMap;
+
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Instant;
+use mustardtiller_core::ReadOutcome;
+use mustardtiller_core::ReadTurn;
+use mustardtiller_core::Registration;
+use mustardtiller_core::RegistrationState;
+use mustardtiller_core::Registry;
+use mustardtiller_core::TurnRule;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+fn entry(name: &str, port: u16, born_ms: u64) -> Registration {
+    Registration {
+        name: name.into(),
+        service: "shop".into(),
+        place: "here".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        slots: 4,
+        state: RegistrationState::Ready,
+        born_ms,
+        cold: false,
+    }
+}
+
+/// Daemons of one place in given time: how many reads, and the oldest view.
+///
+/// `reaches` tells whether the daemon of a rank reads and tells others at a time.
+fn play(daemons: usize, millis: u64, reaches: impl Fn(usize, u64) -> bool) -> (usize, u64) {
+    let rule = TurnRule::default();
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut turns: HashMap<usize, ReadTurn> = (0..daemons)
+        .map(|rank| (rank, ReadTurn::new(rule, at(0))))
+        .collect();
+    let mut view: Option<Instant> = None;
+    let (mut reads, mut oldest) = (0, 0);
+    for now in 0..millis {
+        for rank in 0..daemons {
+            let turn = turns.get_mut(&rank).expect("each daemon has a turn");
+            if !turn.next_read(view, rank).has_passed(at(now)) {
+                continue;
+            }
+            reads += 1;
+            if reaches(rank, now) {
+                turn.ended(ReadOutcome::Read, rank, at(now), &mut rng);
+                view = Some(at(now));
+            } else {
+                turn.ended(ReadOutcome::Failed, rank, at(now), &mut rng);
+            }
+        }
+        if let Some(view) = view {
+            oldest = oldest.max(at(now).micros_since(view) / 1_000);
+        }
+    }
+    (reads, oldest)
+}
+
+#[test]
+fn one_reads_for_all() {
+    let (reads, oldest) = play(30, 60_000, |_, _| true);
+    assert!(reads <= 60_000 / 600 + 30, "{reads} reads");
+    assert!(oldest <= 600);
+}
+
+#[test]
+fn the_next_reads_when_the_first_is_cut_off() {
+    // The first three in rank reach nobody from the tenth second on.
+    let (_, oldest) = play(30, 60_000, |rank, now| now < 10_000 || rank > 2);
+    assert!(
+        oldest < 1_800,
+        "an upstream that drains is known within 2 s"
+    );
+}
+
+#[test]
+fn an_outage_is_not_met_by_everybody() {
+    let (reads, _) = play(90, 30_000, |_, now| now < 5_000);
+    let naive = 90 * 25_000 / 600;
+    assert!(reads * 3 < naive, "{reads} reads, {naive} without ranks");
+}
+
+#[test]
+fn entries_missing_after_a_gap_are_kept_a_while() {
+    let mut turn = ReadTurn::new(TurnRule::default(), at(0));
+    assert!(!turn.keeps_missing(Some(at(1_000)), at(1_600)));
+    assert!(turn.keeps_missing(Some(at(1_600)), at(6_000)));
+    assert!(turn.keeps_missing(Some(at(7_400)), at(8_000)));
+    assert!(!turn.keeps_missing(Some(at(8_000)), at(8_600)));
+}
+
+#[test]
+fn the_newest_incarnation_has_the_address() {
+    let (old, new) = (entry("a", 1, 10), entry("b", 1, 20));
+    let other = entry("c", 2, 5);
+    let registry = Registry::new([old.clone(), new.clone(), other.clone()], at(0));
+    assert!(!registry.is_newest(&old));
+    assert!(registry.is_newest(&new) && registry.is_newest(&other));
+    assert_eq!(
+        registry.at_address(old.address).map(|e| e.name.as_str()),
+        Some("b")
+    );
+}
+
+#[test]
+fn a_delta_leads_to_the_same_registry() {
+    let mut rng = fastrand::Rng::with_seed(9);
+    let draw = |rng: &mut fastrand::Rng| -> Vec<Registration> {
+        let mut entries = Vec::new();
+        for n in 0..20 {
+            if rng.bool() {
+                entries.push(entry(&format!("u{n}"), n, rng.u64(0..3)));
+            }
+        }
+        entries
+    };
+    for _ in 0..200 {
+        let before = Registry::new(draw(&mut rng), at(1));
+        let after = Registry::new(draw(&mut rng), at(2));
+        let reached = before.with(&after.delta_from(&before), at(2));
+        assert_eq!(reached.digest(), after.digest());
+        assert_eq!(reached.len(), after.len());
+    }
+}
+
+#[test]
+fn deadlines_are_kept_apart() {
+    let rule = TurnRule::default();
+    let turn = ReadTurn::new(rule, at(0));
+    let first = turn.next_read(Some(at(100)), 0);
+    let second = turn.next_read(Some(at(100)), 1);
+    assert_eq!(first, Deadline::at(at(100 + rule.read_ms)));
+    assert_eq!(second, Deadline::at(at(100 + rule.read_ms + rule.step_ms)));
+}
--- /dev/null
+++ b/crates/mustardtiller-core/tests/route_split.rs
@@ -0,0 +1,43 @@
+//! Shares of the services of one route, and the offers of a request.
+
+use mustardtiller_core::OfferRule;
+use mustardtiller_core::Offers;
+use mustardtiller_core::Patience;
+use mustardtiller_core::Splitter;
+
+#[test]
+fn any_three_hundred_show_the_shares() {
+    let mut rng = fastrand::Rng::with_seed(2);
+    for weights in [[90, 10], [50, 50], [1, 99], [70, 30]] {
+        // Twelve daemons, each with a sequence of its own, in any order.
+        let splitters: Vec<Splitter> = (0..12).map(|_| Splitter::new(rng.u32(..))).collect();
+        let parts: Vec<usize> = (0..3_000)
+            .map(|_| splitters[rng.usize(..12)].next(&weights))
+            .collect();
+        for window in parts.windows(300) {
+            let first = window.iter().filter(|part| **part == 0).count() as f64 / 300.0;
+            let share = f64::from(weights[0]) / 100.0;
+            assert!((first - share).abs() < 0.1, "{first} for {share}");
+        }
+    }
+}
+
+#[test]
+fn a_part_without_weight_gets_nothing() {
+    let splitter = Splitter::new(9);
+    assert!((0..1_000).all(|_| splitter.next(&[0, 5, 0]) == 1));
+}
+
+#[test]
+fn free_slots_come_before_queues() {
+    let mut offers = Offers::new(OfferRule {
+        immediate: 2,
+        queued: 1,
+    });
+    let mut order = Vec::new();
+    while let Some(patience) = offers.next() {
+        order.push(patience);
+        offers.refused(patience);
+    }
+    assert_eq!(order, [Patience::None, Patience::None, Patience::Queue]);
+}
--- /dev/null
+++ b/crates/mustardtiller-core/tests/slot_knee.rs
@@ -0,0 +1,60 @@
+//! How many of an upstream's slots are worth filling.
+
+use mustardtiller_core::Band;
+use mustardtiller_core::Instant;
+use mustardtiller_core::Knee;
+use mustardtiller_core::KneeWindow;
+
+const SLOTS: u32 = 12;
+
+fn window(low_milli: u64, high_milli: u64, count: u64) -> KneeWindow {
+    let band = |milli: u64| Band {
+        sum_milli: milli * count,
+        count,
+    };
+    KneeWindow {
+        low: band(low_milli),
+        high: band(high_milli),
+    }
+}
+
+fn at(seconds: u64) -> Instant {
+    Instant::from_micros(seconds * 1_000_000)
+}
+
+#[test]
+fn an_even_upstream_is_filled() {
+    let mut knee = Knee::new(SLOTS);
+    for second in 0..30 {
+        assert_eq!(knee.step(window(1_000, 1_100, 40), at(second)), SLOTS);
+    }
+}
+
+#[test]
+fn one_that_slows_down_when_full_is_not() {
+    let mut knee = Knee::new(SLOTS);
+    let limits: Vec<u32> = (0..6)
+        .map(|second| knee.step(window(1_000, 1_650, 40), at(second)))
+        .collect();
+    assert_eq!(limits.last(), Some(&Knee::band(SLOTS)));
+    assert_eq!(Knee::band(SLOTS), 9);
+}
+
+#[test]
+fn few_answers_tell_nothing() {
+    let mut knee = Knee::new(SLOTS);
+    assert_eq!(knee.step(window(1_000, 4_000, 5), at(0)), SLOTS);
+}
+
+#[test]
+fn a_slow_spell_is_not_held_for_ever() {
+    let mut knee = Knee::new(SLOTS);
+    for second in 0..6 {
+        knee.step(window(1_000, 2_000, 40), at(second));
+    }
+    assert_eq!(knee.step(window(0, 0, 0), at(6)), 9);
+    for second in 100..110 {
+        knee.step(window(1_000, 1_000, 40), at(second));
+    }
+    assert_eq!(knee.step(window(1_000, 1_000, 40), at(111)), SLOTS);
+}
--- a/crates/mustardtillerd/tests/settings_check.rs
+++ b/crates/mustardtillerd/tests/settings_check.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
+use std::time::Duration;
+use std::time::Instant;
 
 fn run(name: &str, text: &str) -> Output {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -45,3 +47,37 @@
         .expect("the daemon can be started");
     assert_eq!(output.status.code(), Some(2));
 }
+
+#[test]
+fn a_hangup_ends_nothing() {
+    let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = dir.join("hangup.ini");
+    let ip = format!("127.{}.77.1", 20 + std::process::id() % 200);
+    let text = format!(
+        "[daemon]\nupstream = a\nplace = p\nentry = {ip}:8000\nlink = {ip}:9000\n\
+         withdraw_ms = 10\nstop_ms = 10\n[platform]\naddress = {ip}:6000\n"
+    );
+    fs::write(&path, &text).expect("the settings can be written");
+    let log = dir.join("hangup.log");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mustardtillerd"))
+        .arg(&path)
+        .stdout(fs::File::create(&log).expect("the log can be made"))
+        .spawn()
+        .expect("the daemon starts");
+    let pid = rustix::process::Pid::from_child(&child);
+    let logged = |event: &str| {
+        let until = Instant::now() + Duration::from_secs(20);
+        while !fs::read_to_string(&log).unwrap_or_default().contains(event) {
+            assert!(Instant::now() < until, "no {event} in the log");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    };
+    logged("E100");
+    rustix::process::kill_process(pid, rustix::process::Signal::HUP).expect("it runs");
+    logged("E105");
+    fs::write(&path, "[daemon]\nupsteam = a\n").expect("the settings can be written");
+    rustix::process::kill_process(pid, rustix::process::Signal::HUP).expect("it runs");
+    logged("E106");
+    rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it runs");
+    assert!(child.wait().expect("it ends").success());
+}
