--- a/crates/mustardtiller-cli/src/commands/mod.rs
+++ b/crates/mustardtiller-cli/src/commands/mod.rs
@@ -1,8 +1,10 @@
 //! One function a subcommand.
 
+mod explain;
 mod sets;
 mod write;
 
+pub use explain::explain;
 pub use sets::check;
 pub use sets::diff;
 pub use sets::hosts;
--- a/crates/mustardtiller-cli/src/main.rs
+++ b/crates/mustardtiller-cli/src/main.rs
@@ -1,17 +1,18 @@
-//! The operator's command: check, build and compare sets of objects.
+//! The operator's command: check, build and compare sets of objects, and explain requests.
 //!
 //! It talks to no running process. What it builds is published by the
 //! platform's own means.
 
 mod commands;
 
+use std::alloc::System;
 use std::process::ExitCode;
 
 use clap::Arg;
 use clap::Command;
 
 #[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+static ALLOCATOR: System = System;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -22,6 +23,10 @@
         "build" => commands::build(&text("dir"), &text("out")),
         "diff" => commands::diff(&text("old"), &text("new")),
         "hosts" => commands::hosts(&text("dir")),
+        "explain" => {
+            let files = arguments.get_many::<String>("files").expect("required");
+            commands::explain(&text("id"), &files.cloned().collect::<Vec<_>>())
+        }
         _ => unreachable!("every subcommand is listed"),
     }
 }
@@ -63,4 +68,21 @@
                 .about("Print the host list that fits a set, all hosts live")
                 .arg(dir("dir", "The folder of .ini files")),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Join what daemons logged of one request into one account")
+                .arg(
+                    Arg::new("id")
+                        .required(true)
+                        .value_name("ID")
+                        .help("The identity that the caller gave the request"),
+                )
+                .arg(
+                    Arg::new("files")
+                        .required(true)
+                        .num_args(1..)
+                        .value_name("FILE")
+                        .help("The logs of daemons"),
+                ),
+        )
 }
--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -120,7 +120,5 @@
         BadAnswer = 12 "bad-answer",
         /// The token was used before for another request.
         TokenReused = 13 "token-reused",
-        /// The upstream went silent with the request on it.
-        UpstreamSilent = 14 "upstream-silent",
     }
 );
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -178,6 +178,9 @@
     queued: 2,
 };
 
+/// Upstreams looked at for one offer where gates forecast.
+const FORECAST_DRAWS: usize = 16;
+
 /// Price of another place from which a call waits rather than goes there, in microseconds.
 const DEAR_MICROS: u32 = 50_000;
 
@@ -312,9 +315,16 @@
     tried: &Tried,
     place: PlacePrice,
 ) -> Option<Arc<Candidate>> {
+    let usual = Policy::default();
+    let draws = match cx.node.settings.discovery {
+        // Gates that forecast turn the crowd away, and near ones must be among the drawn.
+        Some(_) => FORECAST_DRAWS,
+        None => usual.draws,
+    };
     let policy = Policy {
         weigh: cx.kind.weigh,
-        ..Policy::default()
+        draws,
+        ..usual
     };
     let excluded = tried.excluded(cx.patience);
     let draw = || {
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -102,7 +102,6 @@
         | UnknownReason::TokenEarly => 409,
         UnknownReason::BadAnswer | UnknownReason::AnswerCut | UnknownReason::LinkLost => 502,
         UnknownReason::LinkSilent
-        | UnknownReason::UpstreamSilent
         | UnknownReason::DeadlinePassed
         | UnknownReason::BodyCut
         | UnknownReason::GateUnreachable => 504,
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -313,9 +313,10 @@
 
 fn read_retries(section: &Section, faults: &mut Vec<Fault>) -> RetryBounds {
     let mut fields = Fields::new(section, faults);
-    let percent = fields.number_or("percent", MAX_PERCENT + 1, 0..=MAX_PERCENT);
+    let said = section.entries.iter().any(|entry| entry.key == "percent");
+    let percent = fields.number_or("percent", 0, 0..=MAX_PERCENT) as u32;
     let retries = RetryBounds {
-        percent: (percent <= MAX_PERCENT).then_some(percent as u32),
+        percent: said.then_some(percent),
         spare: fields.number_or("spare", 10, 0..=1_000_000) as u32,
         window_ms: fields.number_or("window_ms", 10_000, 100..=MAX_MILLIS),
     };
