--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -20,3 +20,4 @@
 pub use sample::Standing;
 pub use split::Splitter;
 pub use subset::subset;
+pub use subset::subset_by_place;
--- a/crates/mustardtiller-core/src/route/subset.rs
+++ b/crates/mustardtiller-core/src/route/subset.rs
@@ -24,6 +24,30 @@
     chosen
 }
 
+/// Choose up to `near_size` of the near names and `far_size` of the others.
+///
+/// An entry sends most requests to its own place and needs few ways out of it,
+/// however large the service is. Returns the indices in rising order.
+#[must_use]
+pub fn subset_by_place<N: Hash>(
+    entry: &str,
+    names: &[N],
+    is_near: impl Fn(usize) -> bool,
+    near_size: usize,
+    far_size: usize,
+) -> Vec<usize> {
+    let (near, far): (Vec<usize>, Vec<usize>) = (0..names.len()).partition(|&n| is_near(n));
+    let of = |group: &[usize], size: usize| -> Vec<usize> {
+        let named: Vec<&N> = group.iter().map(|&index| &names[index]).collect();
+        let chosen = subset(entry, &named, size);
+        chosen.into_iter().map(|index| group[index]).collect()
+    };
+    let mut chosen = of(&near, near_size);
+    chosen.extend(of(&far, far_size));
+    chosen.sort_unstable();
+    chosen
+}
+
 fn weight<N: Hash>(entry: &str, name: &N) -> u64 {
     let mut hasher = DefaultHasher::new();
     entry.hash(&mut hasher);
--- a/crates/mustardtiller-core/tests/route_split.rs
+++ b/crates/mustardtiller-core/tests/route_split.rs
@@ -4,6 +4,7 @@
 use mustardtiller_core::Offers;
 use mustardtiller_core::Patience;
 use mustardtiller_core::Splitter;
+use mustardtiller_core::subset_by_place;
 
 #[test]
 fn any_three_hundred_show_the_shares() {
@@ -41,3 +42,28 @@
     }
     assert_eq!(order, [Patience::None, Patience::None, Patience::Queue]);
 }
+
+#[test]
+fn most_links_stay_in_the_own_place() {
+    let names: Vec<String> = (0..185).map(|n| format!("u{n}")).collect();
+    let mut chosen_by = vec![0_u32; names.len()];
+    for entry in 0..185 {
+        let is_near = |index: usize| index % 5 == entry % 5;
+        let chosen = subset_by_place(&format!("e{entry}"), &names, is_near, 10, 6);
+        assert_eq!(chosen.len(), 16);
+        assert_eq!(chosen.iter().filter(|&&index| is_near(index)).count(), 10);
+        assert!(chosen.is_sorted());
+        for index in chosen {
+            chosen_by[index] += 1;
+        }
+    }
+    // Sixteen each on average: nobody is left out, nobody has three times as many.
+    assert!(chosen_by.iter().all(|&count| (4..48).contains(&count)));
+}
+
+#[test]
+fn a_small_service_is_known_whole() {
+    let names = ["a", "b", "c", "d"];
+    let chosen = subset_by_place("me", &names, |index| index == 2, 10, 6);
+    assert_eq!(chosen, [0, 1, 2, 3]);
+}
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -26,6 +26,13 @@
 use mustardtiller_core::Splitter;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::subset;
+use mustardtiller_core::subset_by_place;
+
+/// Registered upstreams of one service and of the own place that an entry keeps links to.
+const NEAR_LINKS: usize = 10;
+
+/// Those of other places: enough to find a free slot among when the own place has none.
+const FAR_LINKS: usize = 6;
 
 /// Retries or hedges that one service may store.
 const BUDGET_CAP: u32 = 10;
@@ -122,7 +129,14 @@
     let upstreams = upstreams_of(node, service);
     let names: Vec<&UpstreamName> = upstreams.iter().map(|u| &u.name).collect();
     let me = node.board.identity.upstream.as_str();
-    let chosen = subset(me, &names, service.subset as usize);
+    let chosen = if service.discovered {
+        let here = &node.board.identity.place;
+        let is_near = |index: usize| upstreams[index].place == *here;
+        let me = node.member_name();
+        subset_by_place(me.as_str(), &names, is_near, NEAR_LINKS, FAR_LINKS)
+    } else {
+        subset(me, &names, service.subset as usize)
+    };
     let mut candidates = Vec::with_capacity(chosen.len());
     let mut others = Vec::new();
     for (index, upstream) in upstreams.iter().enumerate() {
@@ -147,7 +161,8 @@
         ),
         hedges: before.map_or_else(budget, |before| Arc::clone(&before.hedges)),
     };
-    if node.calls_at_once(service.name.as_str()) {
+    // Where links are few, they are up before the first request needs them.
+    if service.discovered || node.calls_at_once(service.name.as_str()) {
         node.want_links(&routes);
     }
     routes
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -179,7 +179,7 @@
 };
 
 /// Upstreams looked at for one offer where gates forecast.
-const FORECAST_DRAWS: usize = 16;
+const FORECAST_DRAWS: usize = 6;
 
 /// Price of another place from which a call waits rather than goes there, in microseconds.
 const DEAR_MICROS: u32 = 50_000;
@@ -317,7 +317,7 @@
 ) -> Option<Arc<Candidate>> {
     let usual = Policy::default();
     let draws = match cx.node.settings.discovery {
-        // Gates that forecast turn the crowd away, and near ones must be among the drawn.
+        // Gates that forecast turn the crowd away, so more may be looked at.
         Some(_) => FORECAST_DRAWS,
         None => usual.draws,
     };
