--- a/crates/mustardtiller-core/src/route/choice.rs
+++ b/crates/mustardtiller-core/src/route/choice.rs
@@ -14,6 +14,9 @@
 /// Least time of an answer that a score assumes, in microseconds.
 const LEAST_LATENCY_MICROS: u64 = 200;
 
+/// Work that takes as long as usual, in percent.
+const USUAL_WORK_PERCENT: u64 = 100;
+
 /// Age at which a smoothed latency counts for half, in microseconds.
 const LATENCY_HALF_LIFE_MICROS: u64 = 1_000_000;
 
@@ -85,6 +88,7 @@
 ///     error_milli: 0,
 ///     error_age_micros: 0,
 ///     ramp_milli: 1_000,
+///     work_percent: 100,
 ///     price_micros: 0,
 /// };
 /// let busy = Sample { reported: 30, ..idle };
@@ -133,7 +137,9 @@
         sample.latency_age_micros,
         LATENCY_HALF_LIFE_MICROS,
     )
-    .max(LEAST_LATENCY_MICROS);
+    .max(LEAST_LATENCY_MICROS)
+        * slowness_percent(sample, policy)
+        / USUAL_WORK_PERCENT;
     let load_milli = estimated_load_milli(sample, policy);
     let warm_milli = u64::from(sample.ramp_milli.clamp(50, 1_000));
     let waiting = latency * load_milli / slots / warm_milli;
@@ -147,6 +153,14 @@
     latency + waiting + errors + price
 }
 
+/// Return how long work is likely to take there now, in percent of the usual.
+///
+/// What slows a host for a moment is over soon, so the report fades with its age.
+fn slowness_percent(sample: &Sample, policy: &Policy) -> u64 {
+    let over = u64::from(sample.work_percent).saturating_sub(USUAL_WORK_PERCENT);
+    USUAL_WORK_PERCENT + faded(over, sample.report_age_micros, policy.half_life_micros)
+}
+
 /// Estimate the load at the upstream now, in thousandths of a request.
 ///
 /// A report fades with its age; this entry's own requests don't.
--- a/crates/mustardtiller-core/src/route/sample.rs
+++ b/crates/mustardtiller-core/src/route/sample.rs
@@ -36,6 +36,8 @@
     pub error_age_micros: u64,
     /// Share of its full load that it may be given, in thousandths (cold start).
     pub ramp_milli: u32,
+    /// Time that work took there when the report was made, in percent of the usual.
+    pub work_percent: u32,
     /// Price of reaching its place, in microseconds of latency.
     pub price_micros: u32,
 }
--- a/crates/mustardtiller/src/board/signals.rs
+++ b/crates/mustardtiller/src/board/signals.rs
@@ -30,6 +30,7 @@
     outstanding_at_report: AtomicU32,
     slots: AtomicU32,
     ramp_milli: AtomicU32,
+    work_percent: AtomicU32,
     leaving: AtomicBool,
     latency_micros: AtomicU32,
     latency_at: AtomicU64,
@@ -51,6 +52,7 @@
             outstanding_at_report: AtomicU32::new(0),
             slots: AtomicU32::new(slots),
             ramp_milli: AtomicU32::new(1_000),
+            work_percent: AtomicU32::new(100),
             leaving: AtomicBool::new(false),
             latency_micros: AtomicU32::new(FIRST_LATENCY_MICROS),
             latency_at: AtomicU64::new(0),
@@ -82,6 +84,8 @@
         self.slots.store(load.limit.max(1), Ordering::Relaxed);
         self.ramp_milli
             .store(u32::from(load.ramp_milli), Ordering::Relaxed);
+        self.work_percent
+            .store(u32::from(load.work_percent), Ordering::Relaxed);
         self.leaving.store(load.leaving, Ordering::Relaxed);
     }
 
@@ -165,6 +169,7 @@
             error_milli: self.error_milli.load(Ordering::Relaxed),
             error_age_micros: age(&self.error_at),
             ramp_milli: self.ramp_milli.load(Ordering::Relaxed),
+            work_percent: self.work_percent.load(Ordering::Relaxed),
             price_micros,
         }
     }
