perf(link): tell entries when an upstream turns slow or usual again

Cause: entries hear of a slow host with the next answer, a hundred milliseconds late where they send it ten requests a second. Change: a gate sends its load to the entries that used it in the last half second when the speed passes the threshold.

--- a/crates/mustardtiller-core/src/admit/forecast.rs
+++ b/crates/mustardtiller-core/src/admit/forecast.rs
@@ -5,7 +5,7 @@
 use crate::NotRunReason;
 
 /// Time of work from which an upstream counts as slow at this moment, in percent of the usual.
-const SLOW_PERCENT: u32 = 250;
+pub const SLOW_PERCENT: u32 = 250;
 
 /// Share of the usual service time without which no answer is to be hoped for, in percent.
 const LEAST_SERVICE_PERCENT: u64 = 50;
--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -8,6 +8,7 @@
 pub use forecast::Admission;
 pub use forecast::Forecast;
 pub use forecast::Patience;
+pub use forecast::SLOW_PERCENT;
 pub use forecast::Wish;
 pub use knee::Band;
 pub use knee::Knee;
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -211,6 +211,11 @@
         /// The value, if the sender holds it.
         bytes: Option<Bytes>,
     },
+    /// The load has shifted.
+    Load {
+        /// The load of the upstream.
+        load: LoadReport,
+    },
     /// The gate is leaving: only requests with its tokens still come here.
     GoAway,
 }
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use event_listener::Event;
+
 use crate::board::CallerUses;
 use crate::board::Snapshot;
 use mustardtiller_core::Band;
@@ -13,6 +15,7 @@
 use mustardtiller_core::Knee;
 use mustardtiller_core::KneeWindow;
 use mustardtiller_core::LimiterWindow;
+use mustardtiller_core::SLOW_PERCENT;
 use mustardtiller_wire::LoadReport;
 
 /// Work that takes as long as usual, in percent.
@@ -63,6 +66,8 @@
 pub struct GateState {
     /// Callers and what they use.
     pub callers: Snapshot<CallerUses>,
+    /// Notified when the upstream turns slow or usual again.
+    pub shifted: Event,
     in_flight: AtomicU32,
     waiting: AtomicU32,
     limit: AtomicU32,
@@ -91,6 +96,7 @@
     pub fn new(warm_from: Instant, warm_at: Instant) -> Self {
         Self {
             callers: Snapshot::new(CallerUses::default()),
+            shifted: Event::new(),
             in_flight: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             limit: AtomicU32::new(1),
@@ -209,10 +215,15 @@
     }
 
     /// Record how long work takes at the upstream at this moment.
+    ///
+    /// Entries that use the upstream are told when it turns slow or usual again.
     pub fn set_work_percent(&self, percent: u16, now: Instant) {
-        self.work_percent
-            .store(u32::from(percent), Ordering::Relaxed);
+        let percent = u32::from(percent);
+        let before = self.work_percent.swap(percent, Ordering::Relaxed);
         self.work_heard.store(now.as_micros(), Ordering::Relaxed);
+        if (before >= SLOW_PERCENT) != (percent >= SLOW_PERCENT) {
+            self.shifted.notify(usize::MAX);
+        }
     }
 
     /// Return how long work takes at the upstream, as usual if nothing fresh is known.
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -347,6 +347,8 @@
                 link.going_away.store(true, Ordering::SeqCst);
                 Ok(())
             }
+            // Its load was taken with that of other frames.
+            Frame::Load { .. } => Ok(()),
             Frame::Credit { stream, bytes } => {
                 if let Some((_, credit)) = self.streams.get(&stream) {
                     credit.grant(bytes);
@@ -425,9 +427,10 @@
 
 const fn load_of(frame: &Frame) -> Option<LoadReport> {
     match frame {
-        Frame::Refused { load, .. } | Frame::Answer { load, .. } | Frame::Pong { load, .. } => {
-            Some(*load)
-        }
+        Frame::Refused { load, .. }
+        | Frame::Answer { load, .. }
+        | Frame::Pong { load, .. }
+        | Frame::Load { load } => Some(*load),
         _ => None,
     }
 }
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -29,6 +29,7 @@
 use crate::metrics::Counted;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Digest;
+use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Verdict;
 use mustardtiller_wire::Frame;
@@ -41,6 +42,9 @@
 /// Time for a peer's first frame, in milliseconds.
 const HELLO_MS: u64 = 2_000;
 
+/// Time since its last request for which an entry hears of shifts, in microseconds.
+const USED_MICROS: u64 = 500_000;
+
 /// Time without a frame after which a link is given up, in milliseconds.
 const IDLE_MS: u64 = 90_000;
 
@@ -136,6 +140,8 @@
 
     async fn read(&mut self, reader: &mut SocketReader) -> LinkFault {
         let draining = Arc::clone(&self.node);
+        let shifting = Arc::clone(&self.node);
+        let mut used: Option<Instant> = None;
         let mut told = false;
         let mut quiet = Deadline::in_millis(self.node.clock.now(), IDLE_MS);
         loop {
@@ -152,15 +158,31 @@
                 clock.sleep_until(quiet).await;
                 Step::Idle
             };
-            match future::or(next, future::or(drain, idle)).await {
+            let shift = async {
+                shifting.board.gate.shifted.listen().await;
+                Step::Shifted
+            };
+            let rest = future::or(drain, future::or(shift, idle));
+            match future::or(next, rest).await {
                 Step::Frame(Ok(frame)) => {
-                    quiet = Deadline::in_millis(clock.now(), IDLE_MS);
+                    let now = clock.now();
+                    quiet = Deadline::in_millis(now, IDLE_MS);
+                    if matches!(frame, Frame::Open { .. }) {
+                        used = Some(now);
+                    }
                     self.sweep();
                     if let Err(wrong) = self.take(frame) {
                         return LinkFault::Broken(wrong);
                     }
                 }
                 Step::Frame(Err(e)) => return LinkFault::Read(e),
+                Step::Shifted => {
+                    let now = clock.now();
+                    if used.is_some_and(|used| now.micros_since(used) < USED_MICROS) {
+                        let load = self.node.report();
+                        let _ = self.outlet.send(Frame::Load { load });
+                    }
+                }
                 Step::Draining => {
                     told = true;
                     let _ = self.outlet.send(Frame::GoAway);
@@ -236,6 +258,7 @@
             | Frame::AnswerCut { .. }
             | Frame::Pong { .. }
             | Frame::Value { .. }
+            | Frame::Load { .. }
             | Frame::GoAway => Err("an entry sent a gate's frame"),
         }
     }
@@ -349,5 +372,6 @@
 enum Step {
     Frame(Result<Frame, ReadError>),
     Draining,
+    Shifted,
     Idle,
 }
