fix(front): keep to the configuration's idle time and head size

Cause: a caller's connection was closed after 5 s without a request, by the settings, where the configuration allows 15 and more; heads over 16 KB were refused whatever it says. Found by reading; the test waited 4.5 s and could not see it. It waits 6.5 s now and failed before the change.

--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -49,6 +49,9 @@
 /// Time between two tries at a token, in milliseconds.
 const TOKEN_PAUSE_MS: u64 = 20;
 
+/// Least room for a head that the library takes, in bytes.
+const LEAST_HEAD_BYTES: u64 = 8_192;
+
 /// Headers that a request may have.
 const MAX_HEADERS: usize = 100;
 
@@ -97,12 +100,13 @@
         let node = Arc::clone(&node);
         async move { Ok::<_, Infallible>(respond(&node, req).await) }
     });
+    let bounds = caller_bounds(&node);
     let mut builder = http1::Builder::new();
     builder
         .timer(SmolTimer::new())
-        .header_read_timeout(Duration::from_millis(node.settings.head_ms))
+        .header_read_timeout(Duration::from_millis(bounds.wait_ms))
         .max_headers(MAX_HEADERS)
-        .max_buf_size(node.settings.head_bytes as usize);
+        .max_buf_size(bounds.head_bytes.max(LEAST_HEAD_BYTES) as usize);
     let mut connection = pin!(builder.serve_connection(FuturesIo::new(socket), service));
     let ended = async { Some(connection.as_mut().await) };
     let draining = async {
@@ -116,6 +120,31 @@
     }
 }
 
+/// What a caller's connection may do.
+#[derive(Clone, Copy, Debug)]
+struct CallerBounds {
+    /// Time without a whole head, idle or not, in milliseconds: the library has one for both.
+    wait_ms: u64,
+    /// Largest head of a request, in bytes.
+    head_bytes: u64,
+}
+
+/// Return the bounds of the configuration, or of the settings if it has none.
+fn caller_bounds(node: &Node) -> CallerBounds {
+    let configuration = node.board.configuration.read();
+    let limits = configuration.as_ref().as_ref().and_then(|c| c.fleet.limits);
+    limits.map_or(
+        CallerBounds {
+            wait_ms: node.settings.head_ms,
+            head_bytes: node.settings.head_bytes,
+        },
+        |limits| CallerBounds {
+            wait_ms: limits.idle_ms.max(limits.head_ms),
+            head_bytes: limits.head_bytes,
+        },
+    )
+}
+
 async fn respond(node: &Arc<Node>, req: Request<Incoming>) -> Response<AnswerStream> {
     let done = InService::begin(node);
     let closing = node.board.phase.read() >= Phase::Withdrawn;
