--- a/crates/mustardtiller/src/events/logger.rs
+++ b/crates/mustardtiller/src/events/logger.rs
@@ -7,6 +7,7 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
 use std::thread;
+use std::time::Duration;
 
 use log::LevelFilter;
 use log::Record;
@@ -24,11 +25,23 @@
 /// Lines that wait to be written; more are left out and counted.
 const MAX_WAITING: usize = 1_024;
 
+/// Longest wait for the last lines to be written, in milliseconds.
+const FLUSH_MS: u64 = 200;
+
+/// What the writer is given.
+#[derive(Debug)]
+enum Entry {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// Tells the sender once everything before it is written.
+    Flush(SyncSender<()>),
+}
+
 /// Writes lines on a thread of its own, so that a reader that is slow holds up no request.
 #[derive(Debug)]
 struct QueueAppender {
     encoder: PatternEncoder,
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Entry>,
     left_out: AtomicU64,
 }
 
@@ -36,7 +49,7 @@
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let mut line = SimpleWriter(Vec::new());
         self.encoder.encode(&mut line, record)?;
-        if self.lines.try_send(line.0).is_err() {
+        if self.lines.try_send(Entry::Line(line.0)).is_err() {
             self.left_out.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
@@ -45,14 +58,20 @@
             let text = format!(
                 "{{\"level\":\"WARN\",\"event\":\"E900\",\"text\":\"log lines left out\",\"lines\":{left_out}}}\n"
             );
-            if self.lines.try_send(text.into_bytes()).is_err() {
+            if self.lines.try_send(Entry::Line(text.into_bytes())).is_err() {
                 self.left_out.fetch_add(left_out, Ordering::Relaxed);
             }
         }
         Ok(())
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (tx, rx) = sync_channel(1);
+        if self.lines.try_send(Entry::Flush(tx)).is_ok() {
+            // A reader that is slow does not keep the process from ending.
+            let _ = rx.recv_timeout(Duration::from_millis(FLUSH_MS));
+        }
+    }
 }
 
 /// Start logging to standard output at `level`.
@@ -81,14 +100,25 @@
 }
 
 /// Write lines until the logger is gone or nobody reads them.
-fn write_lines(lines: &Receiver<Vec<u8>>) {
+fn write_lines(lines: &Receiver<Entry>) {
     let mut out = std::io::stdout();
-    while let Ok(mut buf) = lines.recv() {
-        while let Ok(more) = lines.try_recv() {
-            buf.extend_from_slice(&more);
+    while let Ok(first) = lines.recv() {
+        let mut buf = Vec::new();
+        let mut waiting = None;
+        let mut next = Some(first);
+        while let Some(entry) = next {
+            match entry {
+                Entry::Line(line) => buf.extend_from_slice(&line),
+                Entry::Flush(tx) => waiting = Some(tx),
+            }
+            next = lines.try_recv().ok();
         }
         if out.write_all(&buf).and_then(|()| out.flush()).is_err() {
             return;
         }
+        if let Some(tx) = waiting {
+            // Whoever waited may have given up.
+            let _ = tx.try_send(());
+        }
     }
 }
--- a/crates/mustardtillerd/src/main.rs
+++ b/crates/mustardtillerd/src/main.rs
@@ -109,6 +109,7 @@
         }
     });
     daemon.join();
+    log::logger().flush();
     Ok(())
 }
 
--- a/crates/mustardtillerd/tests/settings_check.rs
+++ b/crates/mustardtillerd/tests/settings_check.rs
@@ -80,4 +80,6 @@
     logged("E106");
     rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it runs");
     assert!(child.wait().expect("it ends").success());
+    let log = fs::read_to_string(&log).expect("the log can be read");
+    assert!(log.contains("E102"), "its last line is written");
 }
