perf(gate): ask the upstream's speed before a start, and hold starts through a slow spell

Cause: a fourth of the hosts are five times slower for some 150 ms, and how long a request takes is decided when it starts. A start by stale news cost one request in four its target and held a slot five times as long.

Change: before a request starts, a gate whose news is older than 17 ms asks the health path, which answers at once, on a kept connection and within a rate of its own (load_probes_per_s); requests that may wait wait out a spell, unless they are short or the slowness lasts.

--- a/crates/mustardtiller-core/src/admit/forecast.rs
+++ b/crates/mustardtiller-core/src/admit/forecast.rs
@@ -3,9 +3,7 @@
 use crate::Deadline;
 use crate::Instant;
 use crate::NotRunReason;
-
-/// Time of work from which an upstream counts as slow at this moment, in percent of the usual.
-pub const SLOW_PERCENT: u32 = 250;
+use crate::Speed;
 
 /// Share of the usual service time without which no answer is to be hoped for, in percent.
 const LEAST_SERVICE_PERCENT: u64 = 50;
@@ -36,8 +34,8 @@
     pub service_micros: u64,
     /// Usual time at the upstream of any request, in microseconds.
     pub mean_micros: u64,
-    /// Time that work takes at this moment, in percent of the usual.
-    pub work_percent: u32,
+    /// How fast the upstream works at this moment.
+    pub speed: Speed,
 }
 
 /// What a request wants of a gate.
@@ -85,6 +83,12 @@
         self.service_micros * LEAST_SERVICE_PERCENT / 100
     }
 
+    /// Return how long the request better waits for a slow spell to end, in microseconds.
+    #[must_use]
+    pub const fn spell_micros(&self) -> u64 {
+        self.speed.spell_micros(self.service_micros)
+    }
+
     const fn is_short(&self) -> bool {
         self.service_micros * 2 <= self.mean_micros
     }
@@ -103,16 +107,16 @@
         }
         let free = ahead == 0 && self.running < self.limit();
         match wish.patience {
-            Patience::None if !free || self.work_percent >= SLOW_PERCENT => {
+            Patience::None if !free || self.speed.is_slow() => {
                 Admission::Refuse(NotRunReason::Busy)
             }
-            _ if free => Admission::Start,
+            _ if free && self.spell_micros() == 0 => Admission::Start,
             _ => self.queue(wish, ahead),
         }
     }
 
     fn queue(&self, wish: &Wish, ahead: u32) -> Admission {
-        let wait = self.wait_micros(ahead);
+        let wait = self.wait_micros(ahead) + self.spell_micros();
         let answered = self.now.plus_micros(self.service_micros + wait);
         if !wish.target.has_passed(answered) {
             return Admission::Wait;
--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -4,11 +4,11 @@
 mod knee;
 mod limiter;
 mod queue;
+mod speed;
 
 pub use forecast::Admission;
 pub use forecast::Forecast;
 pub use forecast::Patience;
-pub use forecast::SLOW_PERCENT;
 pub use forecast::Wish;
 pub use knee::Band;
 pub use knee::Knee;
@@ -21,3 +21,5 @@
 pub use queue::Urgency;
 pub use queue::WaitQueue;
 pub use queue::Waiter;
+pub use speed::SLOW_PERCENT;
+pub use speed::Speed;
--- a/crates/mustardtiller-core/tests/gate_forecast.rs
+++ b/crates/mustardtiller-core/tests/gate_forecast.rs
@@ -6,6 +6,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Patience;
+use mustardtiller_core::Speed;
 use mustardtiller_core::Wish;
 
 fn forecast() -> Forecast {
@@ -17,7 +18,14 @@
         slots: 10,
         service_micros: 100_000,
         mean_micros: 100_000,
-        work_percent: 100,
+        speed: Speed::USUAL,
+    }
+}
+
+fn spell(percent: u32, slow_micros: u64) -> Speed {
+    Speed {
+        percent,
+        slow_micros,
     }
 }
 
@@ -54,7 +62,7 @@
     };
     assert_eq!(full.admission(&wish, 0), busy);
     let slow = Forecast {
-        work_percent: 500,
+        speed: spell(500, 0),
         ..forecast()
     };
     assert_eq!(slow.admission(&wish, 0), busy);
@@ -129,7 +137,7 @@
             slots: LIMIT as u32,
             service_micros: SERVICE,
             mean_micros: SERVICE,
-            work_percent: 100,
+            speed: Speed::USUAL,
         };
         let wish = Wish {
             patience: Patience::Queue,
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -16,6 +16,7 @@
 use mustardtiller_core::KneeWindow;
 use mustardtiller_core::LimiterWindow;
 use mustardtiller_core::SLOW_PERCENT;
+use mustardtiller_core::Speed;
 use mustardtiller_wire::LoadReport;
 
 /// Work that takes as long as usual, in percent.
@@ -33,6 +34,11 @@
 /// Age from which what an upstream said of its speed no longer counts, in microseconds.
 const WORK_FRESH_MICROS: u64 = 100_000;
 
+/// Age from which what an upstream said of its speed is asked again before a
+/// request starts, in microseconds. Short against the 150 ms for which hosts
+/// keep a speed, and no less than the time between two probes.
+const SPEED_FRESH_MICROS: u64 = 17_000;
+
 /// Longest service time that is compared, in thousandths of the usual.
 const MAX_RELATIVE_MILLI: u64 = 4_000;
 
@@ -68,6 +74,8 @@
     pub callers: Snapshot<CallerUses>,
     /// Notified when the upstream turns slow or usual again.
     pub shifted: Event,
+    /// Notified when the upstream said how fast it works.
+    pub speed_heard: Event,
     in_flight: AtomicU32,
     waiting: AtomicU32,
     limit: AtomicU32,
@@ -83,6 +91,7 @@
     registered: AtomicBool,
     work_percent: AtomicU32,
     work_heard: AtomicU64,
+    slow_since: AtomicU64,
     service_micros: [AtomicU32; KINDS],
     mean_micros: AtomicU32,
     low: BandCell,
@@ -97,6 +106,7 @@
         Self {
             callers: Snapshot::new(CallerUses::default()),
             shifted: Event::new(),
+            speed_heard: Event::new(),
             in_flight: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             limit: AtomicU32::new(1),
@@ -112,6 +122,7 @@
             registered: AtomicBool::new(false),
             work_percent: AtomicU32::new(USUAL_WORK_PERCENT),
             work_heard: AtomicU64::new(0),
+            slow_since: AtomicU64::new(0),
             service_micros: std::array::from_fn(|_| AtomicU32::new(0)),
             mean_micros: AtomicU32::new(FIRST_SERVICE_MICROS),
             low: BandCell::default(),
@@ -219,11 +230,39 @@
     /// Entries that use the upstream are told when it turns slow or usual again.
     pub fn set_work_percent(&self, percent: u16, now: Instant) {
         let percent = u32::from(percent);
+        let known = self.work_percent(now);
         let before = self.work_percent.swap(percent, Ordering::Relaxed);
         self.work_heard.store(now.as_micros(), Ordering::Relaxed);
+        if percent >= SLOW_PERCENT && known < SLOW_PERCENT {
+            self.slow_since.store(now.as_micros(), Ordering::Relaxed);
+        }
         if (before >= SLOW_PERCENT) != (percent >= SLOW_PERCENT) {
             self.shifted.notify(usize::MAX);
         }
+        self.speed_heard.notify(usize::MAX);
+    }
+
+    /// Report whether what is known of the upstream's speed is too old to start a request by.
+    #[must_use]
+    pub fn speed_is_stale(&self, now: Instant) -> bool {
+        let heard = Instant::from_micros(self.work_heard.load(Ordering::Relaxed));
+        now.micros_since(heard) > SPEED_FRESH_MICROS
+    }
+
+    /// Return how fast the upstream works, as usual if nothing fresh is known.
+    #[must_use]
+    pub fn speed(&self, now: Instant) -> Speed {
+        let percent = self.work_percent(now);
+        let since = Instant::from_micros(self.slow_since.load(Ordering::Relaxed));
+        let slow_micros = if percent >= SLOW_PERCENT {
+            now.micros_since(since)
+        } else {
+            0
+        };
+        Speed {
+            percent,
+            slow_micros,
+        }
     }
 
     /// Return how long work takes at the upstream, as usual if nothing fresh is known.
@@ -253,7 +292,7 @@
             slots: self.slots.load(Ordering::SeqCst),
             service_micros: u64::from(service_micros),
             mean_micros: u64::from(mean_micros),
-            work_percent: self.work_percent(now),
+            speed: self.speed(now),
         }
     }
 
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -20,6 +20,7 @@
 use crate::events::Event;
 use crate::gate::AdmissionDesk;
 use crate::gate::LedgerDesk;
+use crate::gate::SpeedDesk;
 use crate::http::Dialect;
 use crate::link::keep_link;
 use crate::metrics::Metrics;
@@ -66,6 +67,8 @@
     pub dialect: Dialect,
     /// Where requests ask for slots of the upstream.
     pub admission: AdmissionDesk,
+    /// Where requests ask for the upstream's speed.
+    pub speed: SpeedDesk,
     /// Where requests with tokens are presented.
     pub ledger: LedgerDesk,
     /// Connections to the upstream.
@@ -92,6 +95,7 @@
             settings: parts.settings,
             dialect: parts.dialect,
             admission: AdmissionDesk::new(),
+            speed: SpeedDesk::new(),
             ledger: LedgerDesk::new(),
             pool: UpstreamPool::new(),
             limits_changed: Signal::new(),
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -29,6 +29,7 @@
 use crate::front::serve_ready;
 use crate::gate::control_admission;
 use crate::gate::control_ledger;
+use crate::gate::control_speed;
 use crate::gossip::GossipSocket;
 use crate::http::Dialect;
 use crate::link::serve_links;
@@ -231,7 +232,7 @@
     gossip: &Arc<GossipSocket>,
     platform: &Arc<dyn PublishedSource>,
 ) {
-    if node.settings.discovery.is_some() {
+    if let Some(discovery) = &node.settings.discovery {
         let registry = controllers::control_registry(
             Arc::clone(node),
             Arc::clone(gossip),
@@ -239,6 +240,7 @@
         );
         node.spawn(registry);
         node.spawn(controllers::control_local(Arc::clone(node)));
+        node.spawn(control_speed(Arc::clone(node), discovery.clone()));
     } else {
         let hosts = controllers::control_hosts(Arc::clone(node), Arc::clone(platform));
         node.spawn(hosts);
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -75,6 +75,7 @@
 struct Ticket {
     caller: Arc<CallerUse>,
     limit: u32,
+    kind_digest: u32,
     reply: Sender<Result<Permit, NotRunReason>>,
 }
 
@@ -110,21 +111,15 @@
     /// Returns why there is no slot.
     pub async fn admit(&self, node: &Arc<Node>, req: &GateRequest) -> Result<Permit, NotRunReason> {
         let gate = &node.board.gate;
-        if node.refuses_new_work() {
-            return Err(NotRunReason::Leaving);
+        let mut may_start = begin(node, req)?;
+        if may_start && node.speed.is_wanted(node) {
+            node.speed.hear(node).await;
+            may_start = begin(node, req)?;
         }
-        let forecast = gate.forecast(req.kind_digest, node.clock.now());
         let caller = Arc::clone(gate.callers.read().find(&req.caller));
-        if gate.waiting() == 0 {
-            match decide(node, &forecast, &wish(req), 0) {
-                Admission::Refuse(reason) => return Err(reason),
-                Admission::Start if gate.try_take(forecast.limit()) => {
-                    return Ok(Permit::new(node, caller));
-                }
-                Admission::Start | Admission::Wait => {}
-            }
-        } else if req.patience == Patience::None {
-            return Err(NotRunReason::Busy);
+        let limit = gate.forecast(req.kind_digest, node.clock.now()).limit();
+        if may_start && gate.try_take(limit) {
+            return Ok(Permit::new(node, caller));
         }
         node.metrics.count(Counted::Queued);
         let urgency = if req.urgent {
@@ -145,6 +140,26 @@
     }
 }
 
+/// Decide whether a request may start at once; `false` if it is to wait.
+fn begin(node: &Node, req: &GateRequest) -> Result<bool, NotRunReason> {
+    if node.refuses_new_work() {
+        return Err(NotRunReason::Leaving);
+    }
+    let gate = &node.board.gate;
+    if gate.waiting() > 0 {
+        return match req.patience {
+            Patience::None => Err(NotRunReason::Busy),
+            Patience::Queue => Ok(false),
+        };
+    }
+    let forecast = gate.forecast(req.kind_digest, node.clock.now());
+    match decide(node, &forecast, &wish(req), 0) {
+        Admission::Refuse(reason) => Err(reason),
+        Admission::Start => Ok(true),
+        Admission::Wait => Ok(false),
+    }
+}
+
 const fn wish(req: &GateRequest) -> Wish {
     Wish {
         patience: req.patience,
@@ -195,6 +210,15 @@
             }
             None
         };
+        // While a slow spell holds waiters back, its end is what they wait for.
+        let sped_up = async {
+            if queue.is_empty() || !node.board.gate.speed(node.clock.now()).is_spell() {
+                future::pending::<()>().await;
+            }
+            node.speed.hear(&node).await;
+            None
+        };
+        let woken = future::or(woken, sped_up);
         if let Some(ask) = future::or(asked, future::or(woken, expired)).await {
             enqueue(&node, &mut queue, ask);
             while let Ok(ask) = node.admission.inbox.try_recv() {
@@ -228,6 +252,7 @@
         ticket: Ticket {
             caller: ask.caller,
             limit: forecast.limit(),
+            kind_digest: ask.kind_digest,
             reply: ask.reply,
         },
     };
@@ -251,7 +276,9 @@
     let callers = node.board.gate.callers.share();
     let in_use = |name: &CallerName| callers.find(name.as_str()).in_use();
     while let Some(next) = queue.peek(in_use) {
-        if !node.board.gate.try_take(next.ticket.limit) {
+        let now = node.clock.now();
+        let forecast = node.board.gate.forecast(next.ticket.kind_digest, now);
+        if forecast.spell_micros() > 0 || !node.board.gate.try_take(next.ticket.limit) {
             break;
         }
         let ticket = queue.pop(in_use).expect("the queue has a next waiter");
--- a/crates/mustardtiller/src/gate/mod.rs
+++ b/crates/mustardtiller/src/gate/mod.rs
@@ -4,6 +4,7 @@
 mod ledger;
 mod request;
 mod run;
+mod speed;
 
 pub use admission::AdmissionDesk;
 pub use admission::Permit;
@@ -15,3 +16,5 @@
 pub use request::GateBody;
 pub use request::GateRequest;
 pub use run::run_request;
+pub use speed::SpeedDesk;
+pub use speed::control_speed;
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -119,7 +119,7 @@
         limit: forecast.limit(),
         waiting: forecast.waiting,
         service_ms: forecast.service_micros / 1_000,
-        work_percent: forecast.work_percent,
+        work_percent: forecast.speed.percent,
         elapsed_ms: now.micros_since(began) / 1_000,
         left_ms: deadline.remaining(now).as_millis() as u64,
     });
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -54,6 +54,9 @@
     pub far_micros: u32,
     /// Further price for each kilobyte of its body, in microseconds of waiting.
     pub far_micros_per_kb: u32,
+    /// Most probes of the upstream's load in a second, made only when a
+    /// request is about to start and its answers don't tell; zero for none.
+    pub load_probes_per_s: u32,
 }
 
 /// Retries that the whole fleet may make of one service in a sliding window.
@@ -70,6 +73,9 @@
 /// Highest price of another place, in microseconds.
 const MAX_FAR_MICROS: u64 = 10_000_000;
 
+/// Highest rate of probes of the upstream's load, in a second.
+const MAX_LOAD_PROBES: u64 = 1_000;
+
 /// All of a whole, in percent.
 const MAX_PERCENT: u64 = 100;
 
@@ -301,6 +307,7 @@
     };
     let far_micros = fields.number_or("far_us", 0, 0..=MAX_FAR_MICROS) as u32;
     let far_micros_per_kb = fields.number_or("far_us_per_kb", 0, 0..=MAX_FAR_MICROS) as u32;
+    let load_probes_per_s = fields.number_or("load_probes_per_s", 0, 0..=MAX_LOAD_PROBES) as u32;
     fields.finish();
     Some(DiscoverySettings {
         upstream: upstream?,
@@ -308,6 +315,7 @@
         turn,
         far_micros,
         far_micros_per_kb,
+        load_probes_per_s,
     })
 }
 
--- a/crates/mustardtiller/src/upstream/mod.rs
+++ b/crates/mustardtiller/src/upstream/mod.rs
@@ -17,5 +17,6 @@
 pub use measure::UpstreamState;
 pub use measure::measure;
 pub use pool::UpstreamPool;
+pub use probe::LoadProbe;
 pub use probe::Probed;
 pub use probe::probe;
