perf(gate): learn the knee from starts at usual speed, a steep one from 30 answers

Change: what a request finds at its start (others running, speed just heard) travels with it; 30 answers in each band conclude a knee at which full slots answer no more, 100 one at half of that.

What would help is a gate that hears of the knee from others of its service; open.

--- a/crates/mustardtiller-core/src/admit/knee.rs
+++ b/crates/mustardtiller-core/src/admit/knee.rs
@@ -8,7 +8,11 @@
 const BAND_PERCENT: u32 = 80;
 
 /// Answers in each band without which nothing is concluded.
-const LEAST_SAMPLES: u64 = 100;
+const LEAST_SAMPLES: u64 = 30;
+
+/// Answers in each band from which a mean is known to a twentieth, at the
+/// spread of work that the users' sheets give (0.3), calls included.
+const SURE_SAMPLES: u64 = 100;
 
 /// Answers in a band at which older ones begin to count for less.
 const MOST_SAMPLES: u64 = 400;
@@ -108,7 +112,8 @@
     /// Report whether filling the last slots is not worth the slower answers.
     ///
     /// An upstream that takes longer by as much as it runs more at once answers
-    /// no more than before, and each answer later; half of that is not worth it.
+    /// no more than before, and each answer later. Once that is sure, half of
+    /// it is not worth filling them either.
     fn loses_when_full(&self) -> bool {
         let KneeWindow { low, high } = self.seen;
         if low.count < LEAST_SAMPLES || high.count < LEAST_SAMPLES {
@@ -117,6 +122,12 @@
         let low_mean = u128::from(low.sum_milli) * u128::from(high.count);
         let high_mean = u128::from(high.sum_milli) * u128::from(low.count);
         let band = Self::band(self.slots);
-        high_mean * u128::from(band * 2) > low_mean * u128::from(self.slots + band)
+        let sure = low.count >= SURE_SAMPLES && high.count >= SURE_SAMPLES;
+        let worth = if sure {
+            self.slots + band
+        } else {
+            self.slots * 2
+        };
+        high_mean * u128::from(band * 2) > low_mean * u128::from(worth)
     }
 }
--- a/crates/mustardtiller-core/tests/slot_knee.rs
+++ b/crates/mustardtiller-core/tests/slot_knee.rs
@@ -46,6 +46,19 @@
     assert_eq!(knee.step(window(1_000, 4_000, 5), at(0)), SLOTS);
 }
 
+#[test]
+fn a_steep_one_is_known_from_few_answers() {
+    let mut knee = Knee::new(SLOTS);
+    assert_eq!(knee.step(window(1_000, 1_650, 30), at(0)), 9);
+}
+
+#[test]
+fn a_gentle_one_is_known_only_when_it_is_sure() {
+    let mut knee = Knee::new(SLOTS);
+    assert_eq!(knee.step(window(1_000, 1_250, 40), at(0)), SLOTS);
+    assert_eq!(knee.step(window(1_000, 1_250, 70), at(1)), 9);
+}
+
 #[test]
 fn a_slow_spell_is_not_held_for_ever() {
     let mut knee = Knee::new(SLOTS);
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// What a request found at the upstream when it started, which decides how long it takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Start {
+    /// Requests that ran, this one included.
+    pub running: u32,
+    /// The upstream had just said that work takes as long as usual.
+    pub at_usual_speed: bool,
+}
+
 /// The gate's state.
 ///
 /// `limit` is written by the limiter controller, the leaving flags by the
@@ -296,15 +305,24 @@
         }
     }
 
+    /// Note what a request that starts finds at the upstream.
+    #[must_use]
+    pub fn start(&self, now: Instant) -> Start {
+        let heard = Instant::from_micros(self.work_heard.load(Ordering::Relaxed));
+        let known = now.micros_since(heard) <= WORK_FRESH_MICROS;
+        Start {
+            running: self.in_flight(),
+            at_usual_speed: known && self.work_percent(now) == USUAL_WORK_PERCENT,
+        }
+    }
+
     /// Learn from a request that the upstream completed.
-    ///
-    /// `running` is how many ran, this one included, when it began.
-    pub fn served(&self, kind_digest: u32, micros: u64, running: u32, now: Instant) {
+    pub fn served(&self, kind_digest: u32, micros: u64, start: Start) {
         let usual = self.service_micros[slot_of(kind_digest)].load(Ordering::Relaxed);
         // What other work on the host does to an upstream tells nothing of its own limit.
-        if usual > 0 && self.work_percent(now) == USUAL_WORK_PERCENT {
+        if usual > 0 && start.at_usual_speed {
             let relative = (micros * 1_000 / u64::from(usual)).min(MAX_RELATIVE_MILLI);
-            let full = running > Knee::band(self.slots.load(Ordering::Relaxed));
+            let full = start.running > Knee::band(self.slots.load(Ordering::Relaxed));
             let band = if full { &self.high } else { &self.low };
             band.add(relative);
         }
--- a/crates/mustardtiller/src/board/mod.rs
+++ b/crates/mustardtiller/src/board/mod.rs
@@ -18,6 +18,7 @@
 pub use callers::CallerUses;
 pub use candidate::Candidate;
 pub use gate::GateState;
+pub use gate::Start;
 pub use phase::Phase;
 pub use phase::PhaseCell;
 pub use routes::ActiveRoute;
--- a/crates/mustardtiller/src/upstream/body.rs
+++ b/crates/mustardtiller/src/upstream/body.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::pool::put_back;
+use crate::board::Start;
 use crate::body::BodyCut;
 use crate::body::PieceSource;
 use crate::daemon::Node;
@@ -104,7 +105,7 @@
     pub(super) deadline: Deadline,
     pub(super) began: Instant,
     pub(super) kind_digest: u32,
-    pub(super) running: u32,
+    pub(super) start: Start,
     pub(super) permit: Option<Permit>,
 }
 
@@ -141,10 +142,9 @@
         if self.permit.take().is_some() {
             let micros = self.node.clock.now().micros_since(self.began);
             self.node.board.gate.completed(micros, false);
-            let now = self.node.clock.now();
             let gate = &self.node.board.gate;
             self.node.metrics.time_upstream(micros);
-            gate.served(self.kind_digest, micros, self.running, now);
+            gate.served(self.kind_digest, micros, self.start);
         }
         if let Some(sender) = self.sender.take() {
             put_back(&self.node, sender);
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -62,8 +62,8 @@
 ) -> GateAnswer {
     let deadline = req.deadline;
     let kind_digest = req.kind_digest;
-    let running = node.board.gate.in_flight();
     let began = node.clock.now();
+    let start = node.board.gate.start(began);
     let head_only = req.method == "HEAD";
     let request_id = req.header(node.dialect.request_id).cloned();
     let cut = Arc::new(AtomicBool::new(false));
@@ -111,7 +111,7 @@
         deadline,
         began,
         kind_digest,
-        running,
+        start,
         permit: Some(permit),
     };
     match body.incoming.size_hint().exact() {
