--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -190,11 +190,11 @@
 async fn spawn_all(node: &Arc<Node>, platform: Arc<dyn PublishedSource>) -> Result<(), StartError> {
     let settings = &node.settings;
     // The link comes first: who holds it is the one daemon of this upstream.
-    let links = bind("link", settings.link).await?;
-    let gossip = GossipSocket::bind(settings.link, Arc::clone(&node.metrics)).await;
+    let links = bind("link", settings.link_listen).await?;
+    let gossip = GossipSocket::bind(settings.link_listen, Arc::clone(&node.metrics)).await;
     let gossip = gossip.context(BindSnafu {
         what: "gossip",
-        address: settings.link,
+        address: settings.link_listen,
     })?;
     let callers = bind("entry", settings.entry).await?;
     if let Some(address) = settings.metrics {
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -90,6 +90,8 @@
     pub entry: SocketAddr,
     /// Where other daemons reach the gate, by TCP and UDP.
     pub link: SocketAddr,
+    /// Where the gate listens, if something on the way forwards `link` to it.
+    pub link_listen: SocketAddr,
     /// Where metrics are read.
     pub metrics: Option<SocketAddr>,
     /// Where the platform asks whether callers may come.
@@ -188,6 +190,7 @@
         let place = fields.name("place", "place");
         let entry = fields.address("entry");
         let link = fields.address("link");
+        let link_listen = fields.address_opt("link_listen");
         let metrics = fields.address_opt("metrics");
         let ready = fields.address_opt("ready");
         let caller = fields.text_opt("caller").map(str::to_owned);
@@ -204,6 +207,7 @@
             place: place?.as_str().into(),
             entry: entry?,
             link: link?,
+            link_listen: link_listen.or(link)?,
             metrics,
             ready,
             caller,
