fix(entry): a refusal after an attempt that may have run promises nothing

A gate that resent a read on a new connection did the same. It also resent what had run for 15 ms and been lost, outside the fleet's bound of retries.

--- a/crates/mustardtiller-core/src/outcome/attempt.rs
+++ b/crates/mustardtiller-core/src/outcome/attempt.rs
@@ -118,6 +118,27 @@
 }
 
 impl Refusal {
+    /// Join with an earlier attempt at the same request that may have run.
+    ///
+    /// Whatever a later attempt proves of itself, the request can't be told as
+    /// not run any more.
+    #[must_use]
+    pub const fn after(self, earlier: Option<UnknownReason>) -> Self {
+        match (self, earlier) {
+            (Self::NotRun(_), Some(reason)) => Self::Unknown(reason),
+            _ => self,
+        }
+    }
+
+    /// Return why it can't be known whether the request ran, if it can't.
+    #[must_use]
+    pub const fn unknown(self) -> Option<UnknownReason> {
+        match self {
+            Self::NotRun(_) => None,
+            Self::Unknown(reason) => Some(reason),
+        }
+    }
+
     /// Return the text of the reason.
     #[must_use]
     pub const fn reason_text(self) -> &'static str {
--- /dev/null
+++ b/crates/mustardtiller-soak/tests/plan_draws.rs
@@ -0,0 +1,52 @@
+//! Plans follow from their seeds.
+
+use std::collections::HashSet;
+use std::mem::discriminant;
+
+use mustardtiller_soak::Plan;
+use mustardtiller_soak::Scale;
+
+const SCALE: Scale = Scale {
+    hosts: 6,
+    millis: 12_000,
+    calls_per_s: 200,
+};
+
+#[test]
+fn one_seed_gives_one_plan() {
+    assert_eq!(Plan::draw(9, SCALE), Plan::draw(9, SCALE));
+    assert_ne!(Plan::draw(9, SCALE), Plan::draw(10, SCALE));
+}
+
+#[test]
+fn the_end_is_calm() {
+    for seed in 0..200 {
+        let plan = Plan::draw(seed, SCALE);
+        assert!(!plan.faults.is_empty());
+        for fault in plan.faults {
+            assert!(fault.at_ms + fault.lasts_ms <= 8_000, "{fault}");
+            assert!(fault.host < 6);
+        }
+    }
+}
+
+#[test]
+fn every_kind_is_drawn() {
+    let plans = (0..200).map(|seed| Plan::draw(seed, SCALE));
+    let kinds: HashSet<_> = plans
+        .flat_map(|plan| plan.faults)
+        .map(|fault| discriminant(&fault.kind))
+        .collect();
+    assert_eq!(
+        kinds.len(),
+        27 - 2,
+        "`LinksHeld` is one kind, held in three ways"
+    );
+}
+
+#[test]
+fn some_seeds_strike_only_as_planned() {
+    let plan = Plan::draw(8, SCALE);
+    assert!(plan.planned_only);
+    assert!(plan.faults.iter().all(|fault| fault.kind.is_planned()));
+}
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -195,6 +195,8 @@
     reached: u32,
     /// The last refusal.
     last: Option<Refusal>,
+    /// Why it can't be known whether an attempt ran, if one may have.
+    unknown: Option<UnknownReason>,
 }
 
 impl Tried {
@@ -209,6 +211,7 @@
 
     fn note(&mut self, name: &UpstreamName, patience: Patience, refusal: Refusal) {
         self.last = Some(refusal);
+        self.unknown = self.unknown.or(refusal.unknown());
         if reached_upstream(refusal) {
             self.reached += 1;
         }
@@ -253,13 +256,13 @@
         offers.refused(patience);
         tried.note(&candidate.upstream.name, patience, refusal);
         let Some(reason) = may_go_on(cx, service, call, &tried, refusal) else {
-            return Err(refusal);
+            return Err(refusal.after(tried.unknown));
         };
         cx.node.metrics.count_retry(reason);
         cx.retried |= reached_upstream(refusal);
     }
     let none = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
-    Err(tried.last.unwrap_or_else(none))
+    Err(tried.last.unwrap_or_else(none).after(tried.unknown))
 }
 
 fn offer_rule(cx: AttemptCx<'_>, call: &Call, place: PlacePrice) -> OfferRule {
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -45,6 +45,10 @@
 /// Answers up to this size are read whole before they are passed on, in bytes.
 const WHOLE_BYTES: u64 = 64 * 1024;
 
+/// Time within which a connection that the upstream has forgotten fails, in
+/// milliseconds: the upstream is on the same host, so it says so at once.
+const FORGOTTEN_MS: u64 = 5;
+
 /// Statuses by which an upstream says that it sheds load.
 const SHED_STATUSES: &[u16] = &[429, 503];
 
@@ -67,8 +71,12 @@
     let head_only = req.method == "HEAD";
     let request_id = req.header(node.dialect.request_id).cloned();
     let cut = Arc::new(AtomicBool::new(false));
-    let (sent, answered) = match send(node, unsent, req, &cut).await {
-        Ok(sent) => sent,
+    let Delivery {
+        sent,
+        earlier,
+        answered,
+    } = match send(node, unsent, req, &cut).await {
+        Ok(delivery) => delivery,
         Err(refusal) => return GateAnswer::refused(refusal),
     };
     let Some((sender, answered)) = answered else {
@@ -102,7 +110,7 @@
     };
     if let Some(verdict) = verdict {
         // The connection is dropped: what follows on it may belong to nobody.
-        return GateAnswer::refused(sent.verdict(verdict));
+        return GateAnswer::refused(sent.verdict(verdict).after(earlier));
     }
     let body = UpstreamBody {
         node: Arc::clone(node),
@@ -126,16 +134,36 @@
 
 type Answered = Option<(SendRequest<RequestBody>, Result<Response<Incoming>, ()>)>;
 
+/// A request that was sent, and what came back.
+struct Delivery {
+    sent: Sent,
+    /// Why an earlier sending of it may have run, if there was one.
+    earlier: Option<UnknownReason>,
+    answered: Answered,
+}
+
+impl Delivery {
+    const fn once(sent: Sent, answered: Answered) -> Self {
+        Self {
+            sent,
+            earlier: None,
+            answered,
+        }
+    }
+}
+
 /// Send on an idle connection, or a new one if that proves to be closed.
 ///
-/// An idempotent request whose idle connection fails goes once more on a new
-/// one: upstreams forget idle connections without notice.
+/// An idempotent request whose idle connection fails at once goes once more on
+/// a new one: upstreams forget idle connections without notice. One that fails
+/// later is likely to have run; whether it runs again is for the entry to say,
+/// within the fleet's bound of retries.
 async fn send(
     node: &Arc<Node>,
     mut unsent: Unsent,
     req: GateRequest,
     cut: &Arc<AtomicBool>,
-) -> Result<(Sent, Answered), Refusal> {
+) -> Result<Delivery, Refusal> {
     let deadline = req.deadline;
     let Some(upstream) = node.own_upstream() else {
         return Err(unsent.refuse(NotRunReason::NoConfiguration).into());
@@ -168,13 +196,16 @@
             return Err(unsent.refuse(NotRunReason::DeadlinePassed).into());
         }
         let sent = unsent.send();
+        let forgotten_by = Deadline::in_millis(node.clock.now(), FORGOTTEN_MS);
         let answer = node
             .clock
             .within(deadline, sender.try_send_request(http))
             .await;
         match answer {
-            None => return Ok((sent, None)),
-            Some(Ok(response)) => return Ok((sent, Some((sender, Ok(response))))),
+            None => return Ok(Delivery::once(sent, None)),
+            Some(Ok(response)) => {
+                return Ok(Delivery::once(sent, Some((sender, Ok(response)))));
+            }
             Some(Err(mut e)) => match (e.take_message(), copy.take()) {
                 // The library gives the request back only if no byte of it left.
                 (Some(message), kept) => {
@@ -186,14 +217,14 @@
                     http = message;
                     copy = kept;
                 }
-                (None, Some(kept)) if pooled => {
+                (None, Some(kept)) if pooled && !forgotten_by.has_passed(node.clock.now()) => {
                     let Ok(again) = http_request(node, kept, expected, cut) else {
-                        return Ok((sent, Some((sender, Err(())))));
+                        return Ok(Delivery::once(sent, Some((sender, Err(())))));
                     };
                     http = again;
                     return send_again(node, sent, http, upstream.address, deadline).await;
                 }
-                (None, _) => return Ok((sent, Some((sender, Err(()))))),
+                (None, _) => return Ok(Delivery::once(sent, Some((sender, Err(()))))),
             },
         }
     }
@@ -206,13 +237,17 @@
     http: Request<RequestBody>,
     address: SocketAddr,
     deadline: Deadline,
-) -> Result<(Sent, Answered), Refusal> {
+) -> Result<Delivery, Refusal> {
     let Ok(mut sender) = connect(node, address, deadline).await else {
         return Err(sent.unknown(UnknownReason::AnswerCut));
     };
     let sending = sender.try_send_request(http);
     let answer = node.clock.within(deadline, sending).await;
-    Ok((sent, answer.map(|answer| (sender, answer.map_err(|_| ())))))
+    Ok(Delivery {
+        sent,
+        earlier: Some(UnknownReason::AnswerCut),
+        answered: answer.map(|answer| (sender, answer.map_err(|_| ()))),
+    })
 }
 
 /// Read a short answer whole, so that a cut in it can still be told as one.
