fix(link): ask a link that was quiet for long for a sign of life before an order

Change: before an attempt that can't be repeated, a link without a frame for 2 s must answer a ping within 100 ms; otherwise the order goes elsewhere, unsent, and the link is made again. a_link_silent_for_long_costs_no_order failed before.

--- a/crates/mustardtiller-soak/src/check.rs
+++ b/crates/mustardtiller-soak/src/check.rs
@@ -1,6 +1,7 @@
 //! The promises, checked against what callers and upstreams saw.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 
 use crate::Call;
@@ -112,8 +113,9 @@
             seen: format!("{call:?} with {ran:?}"),
         });
     };
-    let most = if call.idempotent { MAX_ATTEMPTS } else { 1 };
-    if ran.len() > most {
+    let upstreams: HashSet<&str> = ran.iter().map(|run| run.upstream.as_str()).collect();
+    let once = call.idempotent || ran.len() <= 1;
+    if !once || upstreams.len() > MAX_ATTEMPTS {
         breach("orders run at most once, reads within their attempts");
     }
     match call.ending {
--- a/crates/mustardtiller-soak/src/play.rs
+++ b/crates/mustardtiller-soak/src/play.rs
@@ -8,10 +8,11 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use smol::Timer;
+
 use mustardtiller_standin::Runner;
 
 use crate::Call;
@@ -87,7 +88,7 @@
     book.over.store(true, Ordering::SeqCst);
     let until = Instant::now() + Duration::from_millis(END_MS);
     while Instant::now() < until && book.active.load(Ordering::SeqCst) > 0 {
-        thread::sleep(Duration::from_millis(LOOK_MS));
+        smol::block_on(Timer::after(Duration::from_millis(LOOK_MS)));
     }
     history.own_ends = world.daemons.own_ends();
     history.strange_lines = world.daemons.strange_lines();
@@ -177,7 +178,7 @@
             let more = world.newest_route.clone();
             *book.more.lock().expect("no thread panics here") = more;
         }
-        thread::sleep(Duration::from_millis(LOOK_MS));
+        smol::block_on(Timer::after(Duration::from_millis(LOOK_MS)));
     }
 }
 
--- a/crates/mustardtiller-standin/tests/silent_links.rs
+++ b/crates/mustardtiller-standin/tests/silent_links.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use util::Fleet;
+use util::order;
 use util::wait_for;
 
 #[test]
@@ -40,6 +41,20 @@
     }
 }
 
+#[test]
+fn a_link_silent_for_long_costs_no_order() {
+    let fleet = Fleet::start_piped();
+    for pipe in &fleet.pipes {
+        pipe.silence_open();
+    }
+    std::thread::sleep(Duration::from_millis(2_500));
+    for number in 0..10 {
+        let answer = fleet.call(0, &order(&format!("o{number}"), None));
+        let outcome = (answer.outcome(), answer.reason());
+        assert_ne!(outcome.0, "unknown", "order {number}: {outcome:?}");
+    }
+}
+
 #[test]
 fn a_paused_process_gives_nothing_up() {
     let fleet = Fleet::start_piped();
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -101,13 +101,18 @@
             unsent.refuse(NotRunReason::Unreachable),
         ));
     };
+    if !cx.kind.idempotent && link.is_quiet(now) && !link.proves_alive(cx.node.clock).await {
+        return Err(AttemptError::Unsent(
+            unsent.refuse(NotRunReason::Unreachable),
+        ));
+    }
     let head = request_head(cx, candidate, call);
     let load = InFlight::begin(candidate, cx.node.clock);
     let limits = StreamLimits {
         deadline: cx.deadline,
         target: cx.target,
     };
-    let opened = link.open(unsent, head, limits, now);
+    let opened = link.open(unsent, head, limits, cx.node.clock.now());
     let (sent, stream) = match opened {
         Ok(opened) => opened,
         Err(e) => return Err(AttemptError::Unsent(e.unsent.refuse(e.reason))),
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -12,6 +12,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_channel::unbounded;
+use event_listener::Event;
 
 use super::credit::SendCredit;
 use super::inbox::Delivery;
@@ -41,6 +42,13 @@
 /// Streams that one link carries at once.
 const MAX_STREAMS: u32 = 1_024;
 
+/// Time without a frame after which a link is not trusted with what can't be
+/// repeated, in microseconds: ten times what an answer usually takes.
+const QUIET_MICROS: u64 = 2_000_000;
+
+/// Time for a sign of life, in milliseconds: several ways between regions and back.
+const PROOF_MS: u64 = 100;
+
 /// A stream as the link's reader knows it.
 #[derive(Debug)]
 struct Registration {
@@ -74,6 +82,8 @@
     next_stream: AtomicU32,
     open: AtomicU32,
     frames: AtomicU64,
+    heard_at: AtomicU64,
+    heard: Event,
     pings: AtomicU64,
     ping_at: AtomicU64,
     silent: AtomicBool,
@@ -94,6 +104,8 @@
             next_stream: AtomicU32::new(1),
             open: AtomicU32::new(0),
             frames: AtomicU64::new(0),
+            heard_at: AtomicU64::new(sample.received.as_micros()),
+            heard: Event::new(),
             pings: AtomicU64::new(0),
             ping_at: AtomicU64::new(0),
             silent: AtomicBool::new(false),
@@ -199,6 +211,35 @@
         let _ = self.outlet.send(Frame::Ping { sequence });
     }
 
+    /// Report whether the gate has given no sign of life for long.
+    #[must_use]
+    pub fn is_quiet(&self, now: Instant) -> bool {
+        let heard = Instant::from_micros(self.heard_at.load(Ordering::Relaxed));
+        now.micros_since(heard) > QUIET_MICROS
+    }
+
+    /// Ask for a sign of life, and report whether one came.
+    ///
+    /// A connection that fell silent while nothing was on it is told by this
+    /// before anything is lost on it. It is closed if nothing else is on it.
+    pub async fn proves_alive(&self, clock: Clock) -> bool {
+        let heard = self.heard.listen();
+        let now = clock.now();
+        self.ping(now);
+        let limit = Deadline::in_millis(now, PROOF_MS);
+        let alive = clock.within(limit, heard).await.is_some();
+        if !alive && self.open_streams() == 0 {
+            self.close_silent();
+        }
+        alive
+    }
+
+    fn note_frame(&self, now: Instant) {
+        self.frames.fetch_add(1, Ordering::Relaxed);
+        self.heard_at.store(now.as_micros(), Ordering::Relaxed);
+        self.heard.notify(usize::MAX);
+    }
+
     /// Close the link as silent; what is on it becomes unknown.
     pub fn close_silent(&self) {
         self.silent.store(true, Ordering::SeqCst);
@@ -311,7 +352,7 @@
                 Some(Err(e)) => return LinkEnd::Read(e),
                 Some(Ok(frame)) => frame,
             };
-            link.frames.fetch_add(1, Ordering::Relaxed);
+            link.note_frame(clock.now());
             while let Ok(new) = self.registrations.try_recv() {
                 self.streams.insert(new.stream, (new.feed, new.credit));
             }
