--- a/crates/mustardtiller-soak/src/daemons.rs
+++ b/crates/mustardtiller-soak/src/daemons.rs
@@ -66,7 +66,7 @@
     pub fn write_settings(&self, block: &Block, host: usize, spare: u64) {
         let text = format!(
             "[daemon]\nupstream = daemon-{host}\nplace = {place}\nentry = {entry}\nlink = {link}\n\
-             link_listen = {listen}\ncaller = shop\nthreads = 2\nlog_level = info\n\
+             link_listen = {listen}\ncaller = shop\nthreads = {threads}\nlog_level = info\n\
              request_lines_per_s = 200\nwithdraw_ms = 400\nstop_ms = 4000\n\
              [platform]\nkind = store\naddress = {store}\n\
              [discovery]\nupstream = {upstream}\nservice = shop\nread_ms = 300\n\
@@ -75,6 +75,7 @@
              retry_ms = 200\nmax_retry_ms = 1000\n\
              [retries]\npercent = 20\nspare = {spare}\nwindow_ms = 10000\n",
             place = place_of(host),
+            threads = 1 + host % 2,
             entry = block.own(host, ENTRY_PORT),
             link = block.public(host, LINK_PORT),
             listen = block.own(host, LINK_PORT),
