perf(daemon): let the library's thread wait for I/O, and ours park

Cause: two threads took turns at waiting for I/O; each event at rest woke the library's thread a dozen times with ever longer waits (strace: 85 futex calls a second at 32 events a second).

Change: the thread that runs tasks parks; the library's own waits for I/O.

--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -135,7 +135,10 @@
 
     /// Run on this thread too, until the daemon has stopped, and end its threads.
     pub fn join(self) {
-        smol::block_on(
+        // The library's own thread waits for I/O and wakes this one. Were this
+        // one to wait for I/O too, both would take turns: a dozen wake-ups for
+        // each event of a daemon at rest.
+        smol::future::block_on(
             self.executor
                 .run(self.node.board.phase.reached(Phase::Stopped)),
         );
