perf(gate): short calls take their last useful start in a slow spell, and may be late

Change: a request of up to 50 ms counts as short whatever else runs; a short one that waits out a spell starts when a slow start is the last that is answered before its deadline. Four gates are offered a request before it may wait, so that all of them are slow in one case of 256.

--- a/crates/mustardtiller-core/src/admit/forecast.rs
+++ b/crates/mustardtiller-core/src/admit/forecast.rs
@@ -8,6 +8,14 @@
 /// Share of the usual service time without which no answer is to be hoped for, in percent.
 const LEAST_SERVICE_PERCENT: u64 = 50;
 
+/// Usual service time up to which a request counts as short, in microseconds:
+/// started in a slow spell it still ends within two spells of 150 ms.
+const SHORT_MICROS: u64 = 50_000;
+
+/// Time before the last useful start at which a request that waits out a spell
+/// starts after all, in microseconds: two looks at the upstream's speed.
+const LAST_START_MICROS: u64 = 40_000;
+
 /// How far a request may be kept waiting.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Patience {
@@ -90,7 +98,21 @@
     }
 
     const fn is_short(&self) -> bool {
-        self.service_micros * 2 <= self.mean_micros
+        self.service_micros <= SHORT_MICROS || self.service_micros * 2 <= self.mean_micros
+    }
+
+    /// Report whether a request that waits for a slow spell to end goes on waiting.
+    ///
+    /// A short one starts once a slow start is the last that is answered before
+    /// the deadline. A long one has then more time left than a spell takes, and
+    /// would hold a slot for all of it.
+    #[must_use]
+    pub fn holds(&self, deadline: Deadline) -> bool {
+        if self.spell_micros() == 0 {
+            return false;
+        }
+        let takes = self.speed.slowed_micros(self.service_micros) + LAST_START_MICROS;
+        !self.is_short() || !deadline.has_passed(self.now.plus_micros(takes))
     }
 
     /// Decide whether a request is taken. `ahead` counts those that wait and go before it.
@@ -110,7 +132,7 @@
             Patience::None if !free || self.speed.is_slow() => {
                 Admission::Refuse(NotRunReason::Busy)
             }
-            _ if free && self.spell_micros() == 0 => Admission::Start,
+            _ if free && !self.holds(wish.deadline) => Admission::Start,
             _ => self.queue(wish, ahead),
         }
     }
--- a/crates/mustardtiller-core/src/admit/speed.rs
+++ b/crates/mustardtiller-core/src/admit/speed.rs
@@ -41,6 +41,12 @@
         self.is_slow() && self.slow_micros < LONG_SPELL_MICROS
     }
 
+    /// Return how long work of a usual time takes if it starts now, in microseconds.
+    #[must_use]
+    pub const fn slowed_micros(&self, service_micros: u64) -> u64 {
+        service_micros * self.percent as u64 / USUAL_PERCENT as u64
+    }
+
     /// Return how long a request better waits for the upstream to work as usual, in microseconds.
     ///
     /// The time that a request takes is decided when it starts: one that
--- a/crates/mustardtiller-core/tests/slow_spells.rs
+++ b/crates/mustardtiller-core/tests/slow_spells.rs
@@ -64,6 +64,51 @@
     assert_eq!(slow.admission(&wish(Patience::Queue), 0), Admission::Start);
 }
 
+#[test]
+fn a_short_request_takes_its_last_useful_start() {
+    let slow = Forecast {
+        service_micros: 35_000,
+        ..forecast(slow_for(20_000))
+    };
+    let after = |millis| Deadline::in_millis(slow.now, millis);
+    // A slow start takes 175 ms.
+    assert!(slow.holds(after(300)));
+    assert!(!slow.holds(after(200)));
+    let late = Wish {
+        deadline: after(200),
+        ..wish(Patience::Queue)
+    };
+    assert_eq!(slow.admission(&late, 0), Admission::Start);
+}
+
+#[test]
+fn a_long_request_never_starts_in_a_spell() {
+    let slow = forecast(slow_for(20_000));
+    for millis in [200, 500, 950, 1_500] {
+        assert!(
+            slow.holds(Deadline::in_millis(slow.now, millis)),
+            "{millis}"
+        );
+    }
+}
+
+#[test]
+fn a_short_request_may_be_late_beside_others_that_are_short() {
+    let packed = Forecast {
+        running: 8,
+        service_micros: 40_000,
+        mean_micros: 45_000,
+        ..forecast(Speed::USUAL)
+    };
+    let now = packed.now;
+    let tight = Wish {
+        target: Deadline::in_millis(now, 20),
+        deadline: Deadline::in_millis(now, 400),
+        ..wish(Patience::Queue)
+    };
+    assert_eq!(packed.admission(&tight, 2), Admission::Wait);
+}
+
 /// Share of requests answered in 600 ms, in percent, by one upstream of eight
 /// slots on a host that is five times slower in one of four spells of 150 ms.
 fn in_time_percent(holds: bool) -> u32 {
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -174,7 +174,7 @@
 
 /// Offers of a call where upstreams register themselves and their gates forecast.
 const FORECAST_OFFERS: OfferRule = OfferRule {
-    immediate: 3,
+    immediate: 4,
     queued: 2,
 };
 
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -76,6 +76,7 @@
     caller: Arc<CallerUse>,
     limit: u32,
     kind_digest: u32,
+    deadline: Deadline,
     reply: Sender<Result<Permit, NotRunReason>>,
 }
 
@@ -253,6 +254,7 @@
             caller: ask.caller,
             limit: forecast.limit(),
             kind_digest: ask.kind_digest,
+            deadline: ask.wish.deadline,
             reply: ask.reply,
         },
     };
@@ -278,7 +280,7 @@
     while let Some(next) = queue.peek(in_use) {
         let now = node.clock.now();
         let forecast = node.board.gate.forecast(next.ticket.kind_digest, now);
-        if forecast.spell_micros() > 0 || !node.board.gate.try_take(next.ticket.limit) {
+        if forecast.holds(next.ticket.deadline) || !node.board.gate.try_take(next.ticket.limit) {
             break;
         }
         let ticket = queue.pop(in_use).expect("the queue has a next waiter");
