fix(link): tell entries when an upstream begins or ceases to take work

Change: a gate tells each link when what it said of taking new work changes, beginning with what the handshake told; who fetches values passes such a frame by.

--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -83,6 +83,8 @@
     pub callers: Snapshot<CallerUses>,
     /// Notified when the upstream turns slow or usual again.
     pub shifted: Event,
+    /// Notified when the upstream begins or ceases to take new work.
+    pub availability: Event,
     /// Notified when the upstream said how fast it works.
     pub speed_heard: Event,
     in_flight: AtomicU32,
@@ -115,6 +117,7 @@
         Self {
             callers: Snapshot::new(CallerUses::default()),
             shifted: Event::new(),
+            availability: Event::new(),
             speed_heard: Event::new(),
             in_flight: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
@@ -198,12 +201,12 @@
 
     /// Record whether the upstream says that it leaves. Returns the old value.
     pub fn set_leaving(&self, leaving: bool) -> bool {
-        self.leaving.swap(leaving, Ordering::SeqCst)
+        self.swap_told(&self.leaving, leaving)
     }
 
     /// Record whether the host list has the upstream leaving. Returns the old value.
     pub fn set_listed_leaving(&self, leaving: bool) -> bool {
-        self.listed_leaving.swap(leaving, Ordering::SeqCst)
+        self.swap_told(&self.listed_leaving, leaving)
     }
 
     /// Report whether the upstream takes no new work.
@@ -225,7 +228,16 @@
 
     /// Record whether the upstream can't be reached. Returns the old value.
     pub fn set_down(&self, down: bool) -> bool {
-        self.down.swap(down, Ordering::SeqCst)
+        self.swap_told(&self.down, down)
+    }
+
+    /// Swap a flag that says whether new work is taken, and tell of a change.
+    fn swap_told(&self, flag: &AtomicBool, value: bool) -> bool {
+        let before = flag.swap(value, Ordering::SeqCst);
+        if before != value {
+            self.availability.notify(usize::MAX);
+        }
+        before
     }
 
     /// Report whether the upstream can't be reached.
--- a/crates/mustardtiller/src/link/fetch.rs
+++ b/crates/mustardtiller/src/link/fetch.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 
 use super::handshake;
+use super::reader::SocketReader;
 use crate::daemon::Node;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Digest;
@@ -41,10 +43,7 @@
         let mut buf = Vec::new();
         encode_frame(&Frame::FetchRegistry { stream: 1 }, &mut buf).expect("a fetch fits a frame");
         socket.write_all(&buf).await.ok()?;
-        match reader.next().await.ok()? {
-            Frame::Value { bytes, .. } => postcard::from_bytes(&bytes?).ok(),
-            _ => None,
-        }
+        postcard::from_bytes(&next_value(&mut reader).await??).ok()
     };
     node.clock.within(deadline, fetching).await.flatten()
 }
@@ -67,9 +66,19 @@
         };
         encode_frame(&ask, &mut buf).expect("a fetch fits a frame");
         socket.write_all(&buf).await.ok()?;
-        if let Frame::Value { bytes, .. } = reader.next().await.ok()? {
-            values[index] = bytes.map(|bytes| bytes.to_vec());
-        }
+        values[index] = next_value(&mut reader).await?.map(|bytes| bytes.to_vec());
     }
     Some(())
 }
+
+/// Wait for the next value; the inner `None` is one that the peer does not have.
+async fn next_value(reader: &mut SocketReader) -> Option<Option<Bytes>> {
+    loop {
+        match reader.next().await.ok()? {
+            Frame::Value { bytes, .. } => return Some(bytes),
+            // A gate tells of its load on every link.
+            Frame::Load { .. } | Frame::GoAway => {}
+            _ => return None,
+        }
+    }
+}
--- a/crates/mustardtiller/src/link/handshake.rs
+++ b/crates/mustardtiller/src/link/handshake.rs
@@ -13,6 +13,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_wire::Frame;
 use mustardtiller_wire::Hello;
+use mustardtiller_wire::LoadReport;
 use mustardtiller_wire::PROTOCOL_VERSION;
 use mustardtiller_wire::Welcome;
 use mustardtiller_wire::encode_frame;
@@ -90,12 +91,12 @@
     Ok((reader, welcome, sample))
 }
 
-/// Accept a link: take the hello and say welcome.
+/// Accept a link: take the hello and say welcome. Returns the load told with it.
 pub async fn accept(
     board: &Board,
     clock: Clock,
     socket: TcpStream,
-) -> Result<SocketReader, HandshakeError> {
+) -> Result<(SocketReader, LoadReport), HandshakeError> {
     let mut reader = SocketReader::new(socket.clone());
     let first = reader
         .next()
@@ -104,14 +105,15 @@
     let Frame::Hello(hello) = first else {
         return Err(HandshakeError::Unexpected);
     };
+    let now = clock.now();
+    let closing = board.phase.read() >= Phase::Withdrawn;
+    let load = board.gate.report(now, closing);
     let welcome = Frame::Welcome(Welcome {
         version: PROTOCOL_VERSION,
         incarnation: board.identity.incarnation.0,
         upstream: board.identity.upstream.to_string(),
-        clock_micros: clock.now().as_micros(),
-        load: board
-            .gate
-            .report(clock.now(), board.phase.read() >= Phase::Withdrawn),
+        clock_micros: now.as_micros(),
+        load,
     });
     write_frame(&socket, &welcome).await?;
     check_version(hello.version)?;
@@ -120,7 +122,7 @@
             upstream: hello.upstream,
         });
     }
-    Ok(reader)
+    Ok((reader, load))
 }
 
 const fn check_version(version: u16) -> Result<(), HandshakeError> {
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -74,8 +74,8 @@
     let _ = socket.set_nodelay(true);
     let deadline = Deadline::in_millis(node.clock.now(), HELLO_MS);
     let accepting = handshake::accept(&node.board, node.clock, socket.clone());
-    let reader = match node.clock.within(deadline, accepting).await {
-        Some(Ok(reader)) => reader,
+    let (reader, told) = match node.clock.within(deadline, accepting).await {
+        Some(Ok(accepted)) => accepted,
         Some(Err(e)) => {
             node.metrics.count(Counted::HandshakesRefused);
             Event::HandshakeRefused.log(e);
@@ -90,6 +90,7 @@
         node,
         outlet,
         streams: HashMap::new(),
+        told_leaving: told.leaving,
         done,
         finished,
     };
@@ -110,6 +111,8 @@
     node: Arc<Node>,
     outlet: Outlet,
     streams: HashMap<u32, ServerStream>,
+    /// What the entry was last told of whether new work is taken.
+    told_leaving: bool,
     done: Sender<u32>,
     finished: Receiver<u32>,
 }
@@ -146,6 +149,13 @@
         let mut quiet = Deadline::in_millis(self.node.clock.now(), IDLE_MS);
         loop {
             let clock = self.node.clock;
+            let availability = draining.board.gate.availability.listen();
+            let load = self.node.report();
+            // An entry that was told to stay away sends nothing, and would never hear.
+            if self.told_leaving != load.leaving {
+                self.told_leaving = load.leaving;
+                let _ = self.outlet.send(Frame::Load { load });
+            }
             let next = async { Step::Frame(reader.next().await) };
             let drain = async {
                 if told {
@@ -162,7 +172,11 @@
                 shifting.board.gate.shifted.listen().await;
                 Step::Shifted
             };
-            let rest = future::or(drain, future::or(shift, idle));
+            let changed = async {
+                availability.await;
+                Step::Changed
+            };
+            let rest = future::or(future::or(drain, changed), future::or(shift, idle));
             match future::or(next, rest).await {
                 Step::Frame(Ok(frame)) => {
                     let now = clock.now();
@@ -183,6 +197,7 @@
                         let _ = self.outlet.send(Frame::Load { load });
                     }
                 }
+                Step::Changed => {}
                 Step::Draining => {
                     told = true;
                     let _ = self.outlet.send(Frame::GoAway);
@@ -372,6 +387,7 @@
 enum Step {
     Frame(Result<Frame, ReadError>),
     Draining,
+    Changed,
     Shifted,
     Idle,
 }
