fix(spread): a reader that the platform refuses asks others to read for it

Change: a reader whose read fails asks one peer, which reads at once and for 4 s; one that can't either asks the next, three in all.

An outage of the whole platform stays below 2,000 reads a second.

--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -14,6 +14,14 @@
 /// Refused versions that are remembered.
 const REMEMBERED_REFUSALS: usize = 4;
 
+/// Hosts that a failed read is handed on to, one after the other: with two of
+/// five refused by the platform, four in a row are one case in forty.
+const HAND_OVERS: u8 = 3;
+
+/// Time for which a host reads for one that could not, in milliseconds; that
+/// one asks again with each of its own tries.
+const DEPUTY_MS: u64 = 4_000;
+
 /// Rates and counts of the spread.
 #[derive(Clone, Copy, Debug)]
 pub struct SpreadRule {
@@ -77,6 +85,11 @@
     Refused(Version),
     /// A configuration could not be fetched.
     FetchFailed,
+    /// A reader that can't read the platform asks this host to read for it.
+    AskedToRead {
+        /// Hosts that may be asked in turn if this one can't either.
+        hops: u8,
+    },
 }
 
 /// What is to be done.
@@ -89,6 +102,13 @@
         /// Whether it is asked to answer.
         ask: bool,
     },
+    /// Ask a peer to read the platform for a while.
+    HandOver {
+        /// The peer.
+        peer: SocketAddr,
+        /// Hosts that it may ask in turn.
+        hops: u8,
+    },
     /// Read the platform; a reader waits there for a change.
     ReadPlatform {
         /// Whether to wait for a change.
@@ -111,7 +131,9 @@
 /// One daemon's part in the spread.
 ///
 /// The version held only rises, whoever offers a lower one. A daemon that
-/// starts asks peers before it reads the platform, which may be stale.
+/// starts asks peers before it reads the platform, which may be stale. A
+/// reader that the platform refuses asks another to read for it: the platform
+/// may turn some hosts away and serve the others.
 #[derive(Debug)]
 pub struct Spread {
     me: UpstreamName,
@@ -122,6 +144,8 @@
     fetching: Option<(Version, Deadline)>,
     reading: bool,
     failures: u32,
+    /// Until when this host reads for another, and whom it may ask in turn.
+    deputy: Option<(Deadline, u8)>,
     peers_asked: bool,
     next_gossip: Deadline,
     next_read: Deadline,
@@ -150,6 +174,7 @@
             fetching: None,
             reading: false,
             failures: 0,
+            deputy: None,
             peers_asked: false,
             next_gossip: Deadline::at(now),
             next_read: Deadline::in_millis(now, first_read + rule.peers_ms * 2),
@@ -189,7 +214,7 @@
                 asks,
             } => self.peer_has(peer, version, asks, now),
             SpreadEvent::PlatformHas(version) => self.platform_has(version, hosts, now, rng),
-            SpreadEvent::PlatformFailed => self.platform_failed(now, rng),
+            SpreadEvent::PlatformFailed => self.platform_failed(hosts, now, rng),
             SpreadEvent::Accepted(version) => self.accepted(version, hosts, rng),
             SpreadEvent::Refused(version) => self.refuse(version),
             SpreadEvent::FetchFailed => {
@@ -197,6 +222,7 @@
                 self.back_off(now, rng);
                 SpreadEffects::new()
             }
+            SpreadEvent::AskedToRead { hops } => self.asked_to_read(hops, now),
         }
     }
 
@@ -220,7 +246,7 @@
         }
         if self.may_read() && self.next_read.has_passed(now) {
             self.reading = true;
-            let reader = hosts.is_reader(&self.me, self.rule.readers);
+            let reader = self.reads(hosts, now);
             let watch = reader && self.held.revision > 0 && self.failures == 0;
             effects.push(SpreadEffect::ReadPlatform { watch });
         }
@@ -272,7 +298,7 @@
     ) -> SpreadEffects {
         let mut effects = SpreadEffects::new();
         self.reading = false;
-        let reader = hosts.is_reader(&self.me, self.rule.readers);
+        let reader = self.reads(hosts, now);
         let wait = if reader {
             0
         } else {
@@ -288,12 +314,49 @@
         effects
     }
 
-    fn platform_failed(&mut self, now: Instant, rng: &mut fastrand::Rng) -> SpreadEffects {
+    fn platform_failed(
+        &mut self,
+        hosts: &HostList,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+    ) -> SpreadEffects {
+        let mut effects = SpreadEffects::new();
         self.reading = false;
-        self.back_off(now, rng);
+        let reader = hosts.is_reader(&self.me, self.rule.readers);
+        let deputy = self.deputy.take();
+        let hops = match deputy {
+            Some((_, hops)) => hops,
+            None if reader => HAND_OVERS,
+            None => 0,
+        };
+        if let Some(hops) = hops.checked_sub(1) {
+            let peers = hosts.draw_peers(&self.me, &self.place, 1, rng);
+            let asked = peers.iter().copied();
+            effects.extend(asked.map(|peer| SpreadEffect::HandOver { peer, hops }));
+        }
+        if deputy.is_some() && !reader && self.held.revision > 0 {
+            // Whether to try again is for who asked.
+            let wait = jittered(self.rule.idle_read_ms, rng);
+            self.next_read = Deadline::in_millis(now, wait);
+        } else {
+            self.back_off(now, rng);
+        }
+        effects
+    }
+
+    /// Read for another host, at once and for a while.
+    fn asked_to_read(&mut self, hops: u8, now: Instant) -> SpreadEffects {
+        self.deputy = Some((Deadline::in_millis(now, DEPUTY_MS), hops));
+        self.next_read = Deadline::at(now);
         SpreadEffects::new()
     }
 
+    /// Report whether this host watches the platform, for its place or for another host.
+    fn reads(&self, hosts: &HostList, now: Instant) -> bool {
+        let deputy = self.deputy.is_some_and(|(until, _)| !until.has_passed(now));
+        deputy || hosts.is_reader(&self.me, self.rule.readers)
+    }
+
     /// Put the next read off, longer with each failure.
     fn back_off(&mut self, now: Instant, rng: &mut fastrand::Rng) {
         let wait = self.rule.retry_ms << self.failures.min(8);
--- a/crates/mustardtiller-core/tests/spread_fleet.rs
+++ b/crates/mustardtiller-core/tests/spread_fleet.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
@@ -45,6 +46,7 @@
         watch: bool,
     },
     Fetched(Version),
+    AskedToRead(u8),
 }
 
 struct Fleet {
@@ -57,6 +59,8 @@
     published: Version,
     published_at: u64,
     split: Option<(u64, u64)>,
+    /// Members that the platform refuses.
+    refused: HashSet<usize>,
     loss_percent: u8,
     datagrams: u64,
     reads: Vec<u64>,
@@ -103,6 +107,7 @@
             published: version(1),
             published_at: 0,
             split: None,
+            refused: HashSet::new(),
             loss_percent,
             datagrams: 0,
             reads: Vec::new(),
@@ -174,6 +179,8 @@
                 asks,
             },
             Happening::Fetched(version) => SpreadEvent::Accepted(version),
+            Happening::AskedToRead(hops) => SpreadEvent::AskedToRead { hops },
+            Happening::Read { .. } if self.refused.contains(&index) => SpreadEvent::PlatformFailed,
             Happening::Read { started, watch } => {
                 // A watch ends with a change, or after its longest wait.
                 let changed = self.published_at > started || now >= started + WATCH_MICROS;
@@ -213,6 +220,11 @@
                 };
                 self.push(now + DELAY_MICROS, to, heard);
             }
+            SpreadEffect::HandOver { peer, hops } => {
+                self.datagrams += 1;
+                let asked = Happening::AskedToRead(hops);
+                self.push(now + DELAY_MICROS, index_of(peer), asked);
+            }
             SpreadEffect::ReadPlatform { watch } => {
                 self.reads.push(now);
                 self.push(
@@ -294,6 +306,37 @@
     println!("mass restart: {started} us to the slowest, {most} reads in the busiest second");
 }
 
+#[test]
+fn readers_that_the_platform_refuses_are_replaced() {
+    let mut fleet = Fleet::new(5);
+    let started = fleet.run(60 * SECOND, true);
+    let readers = SpreadRule::default().readers;
+    let members = &fleet.hosts.members;
+    let refused = (0..MEMBERS)
+        .filter(|&index| index % 3 == 0 || fleet.hosts.is_reader(&members[index].name, readers));
+    fleet.refused = refused.collect();
+    // Each reader has found out by now.
+    let at = started + 30 * SECOND;
+    fleet.run(at, false);
+    let before = fleet.reads.len();
+    fleet.publish(2, at);
+    let took = fleet.run(at + 60 * SECOND, true) - at;
+    assert!(took < 20 * SECOND, "a change took {took} us");
+    let reads = fleet.reads.len() - before;
+    assert!(reads < 2_000, "{reads} reads meanwhile");
+}
+
+#[test]
+fn an_outage_is_not_handed_on_for_ever() {
+    let mut fleet = Fleet::new(0);
+    let started = fleet.run(60 * SECOND, true);
+    fleet.refused = (0..MEMBERS).collect();
+    let before = fleet.reads.len();
+    fleet.run(started + 60 * SECOND, false);
+    let reads = (fleet.reads.len() - before) / 60;
+    assert!(reads < 2_000, "{reads} refused reads a second");
+}
+
 #[test]
 fn a_split_heals_to_the_newest() {
     let mut fleet = Fleet::new(5);
--- a/crates/mustardtiller-wire/src/gossip/datagram.rs
+++ b/crates/mustardtiller-wire/src/gossip/datagram.rs
@@ -52,4 +52,9 @@
     },
     /// The sender asks for the receiver's registry.
     AskRegistry,
+    /// The sender can't read the platform and asks the receiver to read for it.
+    ReadForMe {
+        /// Hosts that the receiver may ask in turn.
+        hops: u8,
+    },
 }
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -11,6 +11,7 @@
 
 use crate::daemon::Node;
 use crate::events::Event;
+use crate::gossip::ConfigHeard;
 use crate::gossip::GossipSocket;
 use crate::link::fetch_values;
 use crate::metrics::Counted;
@@ -95,11 +96,14 @@
             let node = Arc::clone(&self.node);
             let clock = node.clock;
             let heard = async {
-                let (peer, version, asks) = gossip.hear().await;
-                Brought::Event(SpreadEvent::PeerHas {
-                    peer,
-                    version,
-                    asks,
+                let (peer, heard) = gossip.hear().await;
+                Brought::Event(match heard {
+                    ConfigHeard::Has { version, asks } => SpreadEvent::PeerHas {
+                        peer,
+                        version,
+                        asks,
+                    },
+                    ConfigHeard::ReadForMe { hops } => SpreadEvent::AskedToRead { hops },
                 })
             };
             let ticked = async {
@@ -144,6 +148,7 @@
                 SpreadEffect::Tell { peer, ask } => {
                     self.gossip.tell(peer, self.spread.held(), ask).await;
                 }
+                SpreadEffect::HandOver { peer, hops } => self.gossip.hand_over(peer, hops).await,
                 SpreadEffect::ReadPlatform { watch } => self.read_platform(watch),
                 SpreadEffect::FetchFromPeer { peer, version } => self.fetch_peer(peer, version),
                 SpreadEffect::FetchFromPlatform { .. } => self.fetch_platform(),
--- a/crates/mustardtiller/src/gossip/mod.rs
+++ b/crates/mustardtiller/src/gossip/mod.rs
@@ -2,5 +2,6 @@
 
 mod socket;
 
+pub use socket::ConfigHeard;
 pub use socket::GossipSocket;
 pub use socket::RegistryHeard;
--- a/crates/mustardtiller/src/gossip/socket.rs
+++ b/crates/mustardtiller/src/gossip/socket.rs
@@ -32,8 +32,22 @@
     Asked,
 }
 
-/// What a peer says of its configuration: who, which version, and whether it asks.
-type AdvertHeard = (SocketAddr, Version, bool);
+/// What a peer says of configurations.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConfigHeard {
+    /// It holds a version, and perhaps asks for ours.
+    Has {
+        /// The version.
+        version: Version,
+        /// It wants an answer.
+        asks: bool,
+    },
+    /// It asks this daemon to read the platform for it.
+    ReadForMe {
+        /// Hosts that may be asked in turn.
+        hops: u8,
+    },
+}
 
 /// A channel to one controller.
 #[derive(Debug)]
@@ -54,7 +68,7 @@
 pub struct GossipSocket {
     socket: UdpSocket,
     metrics: Arc<Metrics>,
-    adverts: Mailbox<AdvertHeard>,
+    configs: Mailbox<(SocketAddr, ConfigHeard)>,
     registry: Mailbox<(SocketAddr, RegistryHeard)>,
 }
 
@@ -69,7 +83,7 @@
         Ok(Self {
             socket,
             metrics,
-            adverts: Mailbox::new(),
+            configs: Mailbox::new(),
             registry: Mailbox::new(),
         })
     }
@@ -111,9 +125,16 @@
         self.send(peer, &bytes).await;
     }
 
-    /// Wait for what a peer says of its configuration.
-    pub async fn hear(&self) -> AdvertHeard {
-        let heard = self.adverts.rx.recv().await;
+    /// Ask a peer to read the platform for this daemon.
+    pub async fn hand_over(&self, peer: SocketAddr, hops: u8) {
+        let datagram = Datagram::ReadForMe { hops };
+        let bytes = encode_datagram(&datagram).expect("a question fits a datagram");
+        self.send(peer, &bytes).await;
+    }
+
+    /// Wait for what a peer says of configurations.
+    pub async fn hear(&self) -> (SocketAddr, ConfigHeard) {
+        let heard = self.configs.rx.recv().await;
         heard.expect("the socket holds the sender")
     }
 
@@ -148,6 +169,10 @@
         let delivered = match datagram {
             Datagram::Have { advert } => self.deliver_advert(peer, advert, false),
             Datagram::Ask { advert } => self.deliver_advert(peer, advert, true),
+            Datagram::ReadForMe { hops } => {
+                let heard = (peer, ConfigHeard::ReadForMe { hops });
+                self.configs.tx.try_send(heard).is_ok()
+            }
             Datagram::Registry { news } => {
                 let heard = (peer, RegistryHeard::News(news));
                 self.registry.tx.try_send(heard).is_ok()
@@ -167,7 +192,8 @@
             revision: advert.revision,
             digest: Digest(advert.digest),
         };
-        self.adverts.tx.try_send((peer, version, asks)).is_ok()
+        let heard = (peer, ConfigHeard::Has { version, asks });
+        self.configs.tx.try_send(heard).is_ok()
     }
 
     async fn send(&self, peer: SocketAddr, bytes: &[u8]) {
