--- a/crates/mustardtiller-core/src/admit/forecast.rs
+++ b/crates/mustardtiller-core/src/admit/forecast.rs
@@ -55,8 +55,6 @@
     pub target: Deadline,
     /// When it stops being wanted.
     pub deadline: Deadline,
-    /// Its caller was refused before and came back as told.
-    pub returned: bool,
 }
 
 /// What becomes of a request that arrives.
--- a/crates/mustardtiller-core/tests/gate_forecast.rs
+++ b/crates/mustardtiller-core/tests/gate_forecast.rs
@@ -35,7 +35,6 @@
         patience,
         target: Deadline::in_millis(now, target_ms),
         deadline: Deadline::in_millis(now, deadline_ms),
-        returned: false,
     }
 }
 
@@ -143,7 +142,6 @@
             patience: Patience::Queue,
             target: Deadline::in_millis(at, 300),
             deadline: Deadline::in_millis(at, 1_000),
-            returned: false,
         };
         match decides(&forecast, &wish, queue.len() as u32) {
             Admission::Refuse(_) => {}
--- a/crates/mustardtiller-core/tests/slow_spells.rs
+++ b/crates/mustardtiller-core/tests/slow_spells.rs
@@ -37,7 +37,6 @@
         patience,
         target: Deadline::in_millis(now, 600),
         deadline: Deadline::in_millis(now, 1_500),
-        returned: false,
     }
 }
 
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -75,7 +75,6 @@
         kind_digest: 5,
         idempotent: false,
         may_wait: true,
-        returned: false,
         method: "GET".to_owned(),
         uri: "/item".to_owned(),
         headers: Vec::new(),
--- a/crates/mustardtiller-wire/src/frame/head.rs
+++ b/crates/mustardtiller-wire/src/frame/head.rs
@@ -104,8 +104,6 @@
     pub headers: Vec<Header>,
     /// It may wait at the gate.
     pub may_wait: bool,
-    /// Its caller was refused before and came back.
-    pub returned: bool,
     /// When it stops being wanted, in microseconds of the receiver's time.
     pub deadline_micros: u64,
     /// Until when an answer has its full worth, in microseconds of the receiver's time.
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -11,7 +11,7 @@
 use mustardtiller_core::Verdict;
 
 /// The version of the link protocol that this program speaks.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// The first frame of the side that opened the link.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/mustardtiller-wire/tests/frame_codec.rs
+++ b/crates/mustardtiller-wire/tests/frame_codec.rs
@@ -31,7 +31,6 @@
             kind_digest: 5,
             idempotent: true,
             may_wait: true,
-            returned: false,
             method: "GET".to_owned(),
             uri,
             headers: vec![Header {
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -51,8 +51,6 @@
     pub target: Deadline,
     /// This attempt is a retry, or the call stems from one.
     pub retried: bool,
-    /// The caller was refused before and came back.
-    pub returned: bool,
     /// How far the gate may keep the attempt waiting.
     pub patience: Patience,
 }
@@ -258,7 +256,6 @@
         kind_digest: cx.kind.digest(),
         idempotent: cx.kind.idempotent,
         may_wait: cx.patience == Patience::Queue,
-        returned: cx.returned,
         method: call.method.clone(),
         uri: call.uri.clone(),
         headers: call.headers.clone(),
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -44,10 +44,6 @@
 /// Share of the time for an answer of full worth that a call waits for a link, as a divisor.
 const LINK_WAIT_DIVISOR: u64 = 4;
 
-/// Time after its first attempt from which a caller counts as come back, in
-/// microseconds; less is the way to the daemon.
-const RETURNED_MICROS: u64 = 20_000;
-
 /// Deepest call that is taken; far beyond any tree of calls, it ends loops.
 const MAX_DEPTH: u8 = 64;
 
@@ -87,7 +83,6 @@
         kind: &kind,
         deadline,
         target: target_of(call, &kind, elapsed_micros).min(deadline),
-        returned: elapsed_micros > RETURNED_MICROS,
         retried: call.outer_retry,
         patience: Patience::Queue,
     };
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -166,7 +166,6 @@
         patience: req.patience,
         target: req.target,
         deadline: req.deadline,
-        returned: req.returned,
     }
 }
 
--- a/crates/mustardtiller/src/gate/request.rs
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -13,10 +13,6 @@
 use mustardtiller_wire::Header;
 
 /// A request for the upstream beside this daemon.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "facts of a request that are independent"
-)]
 #[derive(Debug)]
 pub struct GateRequest {
     /// The caller.
@@ -29,8 +25,6 @@
     pub kind_digest: u32,
     /// It may run more than once.
     pub idempotent: bool,
-    /// Its caller was refused before and came back.
-    pub returned: bool,
     /// How far it may be kept waiting here.
     pub patience: Patience,
     /// The HTTP method.
@@ -73,7 +67,6 @@
             priority: self.priority,
             kind_digest: self.kind_digest,
             idempotent: self.idempotent,
-            returned: self.returned,
             patience: self.patience,
             method: self.method.clone(),
             uri: self.uri.clone(),
--- a/crates/mustardtiller/src/link/incoming.rs
+++ b/crates/mustardtiller/src/link/incoming.rs
@@ -43,7 +43,6 @@
         priority: head.priority,
         kind_digest: head.kind_digest,
         idempotent: head.idempotent,
-        returned: head.returned,
         patience: if head.may_wait {
             Patience::Queue
         } else {
