--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test ci demo lint measure
+.PHONY: test ci demo lint measure soak
 
 test:
 	cargo test --workspace
@@ -14,3 +14,7 @@
 
 measure:
 	./measure
+
+soak:
+	cargo build --release --workspace --bins
+	target/release/mustardtiller-soak --seeds 5
--- a/crates/mustardtiller-soak/tests/short_run.rs
+++ b/crates/mustardtiller-soak/tests/short_run.rs
@@ -56,20 +56,34 @@
     keeps_every_promise(seed, SHORT);
 }
 
-#[test]
-fn seeds_that_failed_once() {
-    for line in REGRESSIONS.lines().filter(|line| !line.starts_with('#')) {
+/// Seeds that are played side by side.
+const AT_ONCE: usize = 4;
+
+fn regressions() -> Vec<(u64, Scale)> {
+    let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#'));
+    let read = |line: &str| {
         let mut words = line.split_whitespace();
-        let mut number = || words.next().and_then(|word| word.parse().ok());
-        let read = (number(), number(), number(), number());
-        let (Some(seed), Some(hosts), Some(millis), Some(calls_per_s)) = read else {
-            panic!("`{line}` is no regression");
-        };
+        let mut number = || words.next()?.parse::<u64>().ok();
+        let seed = number()?;
         let scale = Scale {
-            hosts: hosts as usize,
-            millis,
-            calls_per_s,
+            hosts: number()? as usize,
+            millis: number()?,
+            calls_per_s: number()?,
         };
-        keeps_every_promise(seed, scale);
+        Some((seed, scale))
+    };
+    lines
+        .map(|line| read(line).unwrap_or_else(|| panic!("`{line}` is no regression")))
+        .collect()
+}
+
+#[test]
+fn seeds_that_failed_once() {
+    for seeds in regressions().chunks(AT_ONCE) {
+        std::thread::scope(|scope| {
+            for &(seed, scale) in seeds {
+                scope.spawn(move || keeps_every_promise(seed, scale));
+            }
+        });
     }
 }
