refactor(board,link): the upstream's speed and a link's streams in files of their own

board/speed.rs holds what the upstream says of its speed, link/table.rs what comes on an entry's link. No behaviour changes.

A test of the link's edge read for ever from a link that the gate had closed (seen with a daemon of the protocol before); it fails now instead.

--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -227,6 +227,7 @@
     while refused.len() < 2 {
         let mut buf = [0; 4_096];
         let count = socket.read(&mut buf).expect("the gate answers both");
+        assert!(count > 0, "the gate closed the link");
         reader.extend(&buf[..count]);
         while let Some(frame) = reader.next_frame().expect("the gate sends frames") {
             if let Frame::Refused {
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -9,19 +9,15 @@
 
 use crate::board::CallerUses;
 use crate::board::Snapshot;
+use crate::board::SpeedState;
 use mustardtiller_core::Band;
 use mustardtiller_core::Forecast;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Knee;
 use mustardtiller_core::KneeWindow;
 use mustardtiller_core::LimiterWindow;
-use mustardtiller_core::SLOW_PERCENT;
-use mustardtiller_core::Speed;
 use mustardtiller_wire::LoadReport;
 
-/// Work that takes as long as usual, in percent.
-const USUAL_WORK_PERCENT: u32 = 100;
-
 /// Service times that are kept apart; kinds whose digests meet share one.
 const KINDS: usize = 256;
 
@@ -31,14 +27,6 @@
 /// Weight of one answer in a smoothed service time, as a divisor.
 const SERVICE_DIVISOR: u32 = 16;
 
-/// Age from which what an upstream said of its speed no longer counts, in microseconds.
-const WORK_FRESH_MICROS: u64 = 100_000;
-
-/// Age from which what an upstream said of its speed is asked again before a
-/// request starts, in microseconds. Short against the 150 ms for which hosts
-/// keep a speed, and no less than the time between two probes.
-const SPEED_FRESH_MICROS: u64 = 17_000;
-
 /// Longest service time that is compared, in thousandths of the usual.
 const MAX_RELATIVE_MILLI: u64 = 4_000;
 
@@ -81,12 +69,10 @@
 pub struct GateState {
     /// Callers and what they use.
     pub callers: Snapshot<CallerUses>,
-    /// Notified when the upstream turns slow or usual again.
-    pub shifted: Event,
+    /// How fast the upstream works.
+    pub speed: SpeedState,
     /// Notified when the upstream begins or ceases to take new work.
     pub availability: Event,
-    /// Notified when the upstream said how fast it works.
-    pub speed_heard: Event,
     in_flight: AtomicU32,
     waiting: AtomicU32,
     limit: AtomicU32,
@@ -100,9 +86,6 @@
     shed: AtomicU64,
     down: AtomicBool,
     registered: AtomicBool,
-    work_percent: AtomicU32,
-    work_heard: AtomicU64,
-    slow_since: AtomicU64,
     service_micros: [AtomicU32; KINDS],
     mean_micros: AtomicU32,
     low: BandCell,
@@ -116,9 +99,8 @@
     pub fn new(warm_from: Instant, warm_at: Instant) -> Self {
         Self {
             callers: Snapshot::new(CallerUses::default()),
-            shifted: Event::new(),
+            speed: SpeedState::default(),
             availability: Event::new(),
-            speed_heard: Event::new(),
             in_flight: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             limit: AtomicU32::new(1),
@@ -132,9 +114,6 @@
             shed: AtomicU64::new(0),
             down: AtomicBool::new(false),
             registered: AtomicBool::new(false),
-            work_percent: AtomicU32::new(USUAL_WORK_PERCENT),
-            work_heard: AtomicU64::new(0),
-            slow_since: AtomicU64::new(0),
             service_micros: std::array::from_fn(|_| AtomicU32::new(0)),
             mean_micros: AtomicU32::new(FIRST_SERVICE_MICROS),
             low: BandCell::default(),
@@ -246,56 +225,6 @@
         self.down.load(Ordering::SeqCst)
     }
 
-    /// Record how long work takes at the upstream at this moment.
-    ///
-    /// Entries that use the upstream are told when it turns slow or usual again.
-    pub fn set_work_percent(&self, percent: u16, now: Instant) {
-        let percent = u32::from(percent);
-        let known = self.work_percent(now);
-        let before = self.work_percent.swap(percent, Ordering::Relaxed);
-        self.work_heard.store(now.as_micros(), Ordering::Relaxed);
-        if percent >= SLOW_PERCENT && known < SLOW_PERCENT {
-            self.slow_since.store(now.as_micros(), Ordering::Relaxed);
-        }
-        if (before >= SLOW_PERCENT) != (percent >= SLOW_PERCENT) {
-            self.shifted.notify(usize::MAX);
-        }
-        self.speed_heard.notify(usize::MAX);
-    }
-
-    /// Report whether what is known of the upstream's speed is too old to start a request by.
-    #[must_use]
-    pub fn speed_is_stale(&self, now: Instant) -> bool {
-        let heard = Instant::from_micros(self.work_heard.load(Ordering::Relaxed));
-        now.micros_since(heard) > SPEED_FRESH_MICROS
-    }
-
-    /// Return how fast the upstream works, as usual if nothing fresh is known.
-    #[must_use]
-    pub fn speed(&self, now: Instant) -> Speed {
-        let percent = self.work_percent(now);
-        let since = Instant::from_micros(self.slow_since.load(Ordering::Relaxed));
-        let slow_micros = if percent >= SLOW_PERCENT {
-            now.micros_since(since)
-        } else {
-            0
-        };
-        Speed {
-            percent,
-            slow_micros,
-        }
-    }
-
-    /// Return how long work takes at the upstream, as usual if nothing fresh is known.
-    #[must_use]
-    pub fn work_percent(&self, now: Instant) -> u32 {
-        let heard = Instant::from_micros(self.work_heard.load(Ordering::Relaxed));
-        if now.micros_since(heard) > WORK_FRESH_MICROS {
-            return USUAL_WORK_PERCENT;
-        }
-        self.work_percent.load(Ordering::Relaxed)
-    }
-
     /// Return what is known when a request of a kind arrives.
     #[must_use]
     pub fn forecast(&self, kind_digest: u32, now: Instant) -> Forecast {
@@ -313,18 +242,16 @@
             slots: self.slots.load(Ordering::SeqCst),
             service_micros: u64::from(service_micros),
             mean_micros: u64::from(mean_micros),
-            speed: self.speed(now),
+            speed: self.speed.at(now),
         }
     }
 
     /// Note what a request that starts finds at the upstream.
     #[must_use]
     pub fn start(&self, now: Instant) -> Start {
-        let heard = Instant::from_micros(self.work_heard.load(Ordering::Relaxed));
-        let known = now.micros_since(heard) <= WORK_FRESH_MICROS;
         Start {
             running: self.in_flight(),
-            at_usual_speed: known && self.work_percent(now) == USUAL_WORK_PERCENT,
+            at_usual_speed: self.speed.is_known_usual(now),
         }
     }
 
@@ -382,7 +309,7 @@
             in_flight: self.in_flight() + self.waiting(),
             limit: self.limit(),
             ramp_milli: self.ramp_milli(now),
-            work_percent: self.work_percent(now).min(u32::from(u16::MAX)) as u16,
+            work_percent: self.speed.percent(now).min(u32::from(u16::MAX)) as u16,
             leaving: closing || self.is_leaving() || self.is_down(),
         }
     }
--- a/crates/mustardtiller/src/board/mod.rs
+++ b/crates/mustardtiller/src/board/mod.rs
@@ -11,6 +11,7 @@
 mod routes;
 mod signals;
 mod snapshot;
+mod speed;
 
 pub use blackboard::Board;
 pub use blackboard::Identity;
@@ -27,3 +28,4 @@
 pub use routes::ServiceRoutes;
 pub use signals::Signals;
 pub use snapshot::Snapshot;
+pub use speed::SpeedState;
--- /dev/null
+++ b/crates/mustardtiller/src/board/speed.rs
@@ -0,0 +1,104 @@
+//! How fast the upstream works, as it last said.
+
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use event_listener::Event;
+
+use mustardtiller_core::Instant;
+use mustardtiller_core::SLOW_PERCENT;
+use mustardtiller_core::Speed;
+
+/// Age from which what an upstream said of its speed no longer counts, in microseconds.
+const KNOWN_MICROS: u64 = 100_000;
+
+/// Age from which what an upstream said of its speed is asked again before a
+/// request starts, in microseconds. Short against the 150 ms for which hosts
+/// keep a speed, and no less than the time between two probes.
+const FRESH_MICROS: u64 = 17_000;
+
+/// How fast the upstream works. Written by whoever hears the upstream.
+#[derive(Debug)]
+pub struct SpeedState {
+    /// Notified when the upstream turns slow or usual again.
+    pub shifted: Event,
+    /// Notified when the upstream said how fast it works.
+    pub heard: Event,
+    percent: AtomicU32,
+    heard_at: AtomicU64,
+    slow_since: AtomicU64,
+}
+
+impl SpeedState {
+    /// Record how long work takes at this moment, in percent of the usual.
+    ///
+    /// Entries that use the upstream are told when it turns slow or usual again.
+    pub fn set(&self, percent: u16, now: Instant) {
+        let percent = u32::from(percent);
+        let known = self.percent(now);
+        let before = self.percent.swap(percent, Ordering::Relaxed);
+        self.heard_at.store(now.as_micros(), Ordering::Relaxed);
+        if percent >= SLOW_PERCENT && known < SLOW_PERCENT {
+            self.slow_since.store(now.as_micros(), Ordering::Relaxed);
+        }
+        if (before >= SLOW_PERCENT) != (percent >= SLOW_PERCENT) {
+            self.shifted.notify(usize::MAX);
+        }
+        self.heard.notify(usize::MAX);
+    }
+
+    /// Report whether what is known is too old to start a request by.
+    #[must_use]
+    pub fn is_stale(&self, now: Instant) -> bool {
+        self.age_micros(now) > FRESH_MICROS
+    }
+
+    /// Report whether the upstream has just said that work takes as long as usual.
+    #[must_use]
+    pub fn is_known_usual(&self, now: Instant) -> bool {
+        self.age_micros(now) <= KNOWN_MICROS && self.percent(now) == Speed::USUAL.percent
+    }
+
+    /// Return how long work takes, in percent; as usual if nothing fresh is known.
+    #[must_use]
+    pub fn percent(&self, now: Instant) -> u32 {
+        if self.age_micros(now) > KNOWN_MICROS {
+            return Speed::USUAL.percent;
+        }
+        self.percent.load(Ordering::Relaxed)
+    }
+
+    /// Return how fast the upstream works, as usual if nothing fresh is known.
+    #[must_use]
+    pub fn at(&self, now: Instant) -> Speed {
+        let percent = self.percent(now);
+        let since = Instant::from_micros(self.slow_since.load(Ordering::Relaxed));
+        let slow_micros = if percent >= SLOW_PERCENT {
+            now.micros_since(since)
+        } else {
+            0
+        };
+        Speed {
+            percent,
+            slow_micros,
+        }
+    }
+
+    fn age_micros(&self, now: Instant) -> u64 {
+        let heard = Instant::from_micros(self.heard_at.load(Ordering::Relaxed));
+        now.micros_since(heard)
+    }
+}
+
+impl Default for SpeedState {
+    fn default() -> Self {
+        Self {
+            shifted: Event::new(),
+            heard: Event::new(),
+            percent: AtomicU32::new(Speed::USUAL.percent),
+            heard_at: AtomicU64::new(0),
+            slow_since: AtomicU64::new(0),
+        }
+    }
+}
--- a/crates/mustardtiller/src/controllers/local.rs
+++ b/crates/mustardtiller/src/controllers/local.rs
@@ -110,7 +110,7 @@
 fn take(node: &Node, discovery: &DiscoverySettings, probed: &Probed) {
     let gate = &node.board.gate;
     if let Some(load) = probed.load {
-        gate.set_work_percent(load.work_percent, node.clock.now());
+        gate.speed.set(load.work_percent, node.clock.now());
     }
     if gate.set_down(false) {
         Event::UpstreamUp.log(&probed.name);
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -212,7 +212,7 @@
         };
         // While a slow spell holds waiters back, its end is what they wait for.
         let sped_up = async {
-            if queue.is_empty() || !node.board.gate.speed(node.clock.now()).is_spell() {
+            if queue.is_empty() || !node.board.gate.speed.at(node.clock.now()).is_spell() {
                 future::pending::<()>().await;
             }
             node.speed.hear(&node).await;
--- a/crates/mustardtiller/src/gate/speed.rs
+++ b/crates/mustardtiller/src/gate/speed.rs
@@ -53,13 +53,13 @@
 
     /// Report whether the upstream's speed is to be asked before a request starts.
     pub fn is_wanted(&self, node: &Node) -> bool {
-        self.answers.load(Ordering::SeqCst) && node.board.gate.speed_is_stale(node.clock.now())
+        self.answers.load(Ordering::SeqCst) && node.board.gate.speed.is_stale(node.clock.now())
     }
 
     /// Wait until the upstream has said how fast it works, or for a moment in vain.
     pub async fn hear(&self, node: &Node) {
         let limit = Deadline::in_millis(node.clock.now(), HEAR_MS);
-        let heard = node.board.gate.speed_heard.listen();
+        let heard = node.board.gate.speed.heard.listen();
         self.waiting.fetch_add(1, Ordering::SeqCst);
         let waiting = Waiting(&self.waiting);
         self.wanted.notify(1);
@@ -109,13 +109,13 @@
         match asked.unwrap_or_else(|| Err("no answer in time".to_owned())) {
             Ok(load) => {
                 let now = node.clock.now();
-                node.board.gate.set_work_percent(load.work_percent, now);
+                node.board.gate.speed.set(load.work_percent, now);
             }
             Err(cause) => {
                 node.metrics.count(Counted::MeasurementsFailed);
                 Event::MeasureFailed.log(cause);
                 node.speed.answers.store(false, Ordering::SeqCst);
-                node.board.gate.speed_heard.notify(usize::MAX);
+                node.board.gate.speed.heard.notify(usize::MAX);
                 node.clock.sleep_millis(PAUSE_MS).await;
                 node.speed.answers.store(true, Ordering::SeqCst);
             }
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -1,6 +1,5 @@
 //! The entry's end of a link.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -9,23 +8,17 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
-use async_channel::Receiver;
 use async_channel::Sender;
 use async_channel::unbounded;
 use event_listener::Event;
 
 use super::credit::SendCredit;
-use super::inbox::Delivery;
-use super::inbox::InboxFeed;
 use super::inbox::inbox;
 use super::outlet::Outlet;
-use super::reader::ReadError;
-use super::reader::SocketReader;
 use super::stream::ClientStream;
-use crate::board::Signals;
+use super::table::LinkTable;
+use super::table::Registration;
 use crate::clock::Clock;
-use crate::metrics::Counted;
-use crate::metrics::Metrics;
 use mustardtiller_core::ClockOffset;
 use mustardtiller_core::ClockSample;
 use mustardtiller_core::Deadline;
@@ -36,7 +29,6 @@
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::Unsent;
 use mustardtiller_wire::Frame;
-use mustardtiller_wire::LoadReport;
 use mustardtiller_wire::RequestHead;
 
 /// Streams that one link carries at once.
@@ -49,14 +41,6 @@
 /// Time for a sign of life, in milliseconds: several ways between regions and back.
 const PROOF_MS: u64 = 100;
 
-/// A stream as the link's reader knows it.
-#[derive(Debug)]
-struct Registration {
-    stream: u32,
-    feed: InboxFeed,
-    credit: Arc<SendCredit>,
-}
-
 /// Until when a request on a link is wanted.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamLimits {
@@ -113,13 +97,7 @@
             gate,
             offset: ArcSwap::from_pointee(offset),
         };
-        (
-            handle,
-            LinkTable {
-                registrations: rx,
-                streams: HashMap::new(),
-            },
-        )
+        (handle, LinkTable::new(rx))
     }
 
     /// Return the incarnation of the gate at the other end.
@@ -234,7 +212,7 @@
         alive
     }
 
-    fn note_frame(&self, now: Instant) {
+    pub(super) fn note_frame(&self, now: Instant) {
         self.frames.fetch_add(1, Ordering::Relaxed);
         self.heard_at.store(now.as_micros(), Ordering::Relaxed);
         self.heard.notify(usize::MAX);
@@ -252,6 +230,11 @@
         self.outlet.close();
     }
 
+    /// Note that the gate closes: it takes nothing new.
+    pub(super) fn note_going_away(&self) {
+        self.going_away.store(true, Ordering::SeqCst);
+    }
+
     /// Wait until the link is closed from this side.
     pub(super) async fn closed(&self) {
         self.registrations.closed().await;
@@ -289,7 +272,7 @@
         ClientStream::new(Arc::clone(self), stream, inbox, credit)
     }
 
-    fn heard_pong(&self, sequence: u64, peer: Instant, now: Instant) {
+    pub(super) fn heard_pong(&self, sequence: u64, peer: Instant, now: Instant) {
         if sequence != self.pings.load(Ordering::SeqCst) {
             return;
         }
@@ -312,166 +295,3 @@
             .finish_non_exhaustive()
     }
 }
-
-/// The streams of one link, owned by its reader.
-#[derive(Debug)]
-pub struct LinkTable {
-    registrations: Receiver<Registration>,
-    streams: HashMap<u32, (InboxFeed, Arc<SendCredit>)>,
-}
-
-/// Why a link ended.
-#[derive(Debug)]
-pub enum LinkEnd {
-    /// It was closed from this side.
-    Closed,
-    /// The connection ended or the peer sent what is no frame.
-    Read(ReadError),
-    /// The peer broke the protocol.
-    Broken(&'static str),
-}
-
-impl LinkTable {
-    /// Deliver frames until the link ends; dropping the table ends its streams.
-    pub async fn run(
-        mut self,
-        link: &LinkHandle,
-        reader: &mut SocketReader,
-        signals: &Signals,
-        clock: Clock,
-        metrics: &Metrics,
-    ) -> LinkEnd {
-        loop {
-            let read = async { Some(reader.next().await) };
-            let closed = async {
-                link.closed().await;
-                None
-            };
-            let frame = match smol::future::or(closed, read).await {
-                None => return LinkEnd::Closed,
-                Some(Err(e)) => return LinkEnd::Read(e),
-                Some(Ok(frame)) => frame,
-            };
-            link.note_frame(clock.now());
-            while let Ok(new) = self.registrations.try_recv() {
-                self.streams.insert(new.stream, (new.feed, new.credit));
-            }
-            if matches!(frame, Frame::GoAway) {
-                signals.note_leaving();
-            }
-            if let Some(load) = load_of(&frame) {
-                signals.heard(load, clock.now());
-            }
-            if let Err(wrong) = self.take(frame, link, clock, metrics) {
-                return LinkEnd::Broken(wrong);
-            }
-        }
-    }
-
-    fn take(
-        &mut self,
-        frame: Frame,
-        link: &LinkHandle,
-        clock: Clock,
-        metrics: &Metrics,
-    ) -> Result<(), &'static str> {
-        match frame {
-            Frame::Pong {
-                sequence,
-                clock_micros,
-                ..
-            } => {
-                link.heard_pong(sequence, Instant::from_micros(clock_micros), clock.now());
-                Ok(())
-            }
-            Frame::GoAway => {
-                link.going_away.store(true, Ordering::SeqCst);
-                Ok(())
-            }
-            // Its load was taken with that of other frames.
-            Frame::Load { .. } => Ok(()),
-            Frame::Credit { stream, bytes } => {
-                if let Some((_, credit)) = self.streams.get(&stream) {
-                    credit.grant(bytes);
-                }
-                Ok(())
-            }
-            Frame::Admitted { stream } => self.deliver(stream, frame, 0, false, metrics),
-            Frame::Refused { stream, .. }
-            | Frame::AnswerEnd { stream }
-            | Frame::AnswerCut { stream }
-            | Frame::Value { stream, .. } => self.deliver(stream, frame, 0, true, metrics),
-            Frame::Answer {
-                stream,
-                ref bytes,
-                last,
-                ..
-            } => {
-                let count = bytes.len();
-                self.deliver(stream, frame, count, last, metrics)
-            }
-            Frame::AnswerData { stream, ref bytes } => {
-                let count = bytes.len();
-                self.deliver(stream, frame, count, false, metrics)
-            }
-            Frame::Hello(_)
-            | Frame::Welcome(_)
-            | Frame::Open { .. }
-            | Frame::Data { .. }
-            | Frame::DataEnd { .. }
-            | Frame::DataCut { .. }
-            | Frame::Cancel { .. }
-            | Frame::Ping { .. }
-            | Frame::Fetch { .. }
-            | Frame::FetchRegistry { .. } => Err("a gate sent an entry's frame"),
-        }
-    }
-
-    fn deliver(
-        &mut self,
-        stream: u32,
-        frame: Frame,
-        bytes: usize,
-        last: bool,
-        metrics: &Metrics,
-    ) -> Result<(), &'static str> {
-        let Some((feed, _)) = self.streams.get(&stream) else {
-            return Err("a frame for a stream that was never opened");
-        };
-        let delivery = feed.deliver(frame, bytes);
-        if last {
-            self.streams.remove(&stream);
-        }
-        match delivery {
-            Delivery::Taken => Ok(()),
-            Delivery::Late => {
-                metrics.count(Counted::AnswersLate);
-                Ok(())
-            }
-            Delivery::Overrun => Err("a stream exceeded its window"),
-        }
-    }
-}
-
-impl Drop for LinkTable {
-    fn drop(&mut self) {
-        // A registration still queued would keep its stream waiting for ever.
-        self.registrations.close();
-        while let Ok(queued) = self.registrations.try_recv() {
-            queued.credit.close();
-        }
-        for (_, credit) in self.streams.values() {
-            credit.close();
-        }
-    }
-}
-
-const fn load_of(frame: &Frame) -> Option<LoadReport> {
-    match frame {
-        Frame::Refused { load, .. }
-        | Frame::Answer { load, .. }
-        | Frame::Pong { load, .. }
-        | Frame::Load { load } => Some(*load),
-        _ => None,
-    }
-}
--- a/crates/mustardtiller/src/link/keeper.rs
+++ b/crates/mustardtiller/src/link/keeper.rs
@@ -4,14 +4,14 @@
 
 use smol::net::TcpStream;
 
-use super::client::LinkEnd;
 use super::client::LinkHandle;
-use super::client::LinkTable;
 use super::handshake;
 use super::handshake::HandshakeError;
 use super::outlet::outlet;
 use super::reader::ReadError;
 use super::reader::SocketReader;
+use super::table::LinkEnd;
+use super::table::LinkTable;
 use crate::board::Candidate;
 use crate::daemon::Node;
 use crate::events::Event;
--- a/crates/mustardtiller/src/link/mod.rs
+++ b/crates/mustardtiller/src/link/mod.rs
@@ -13,6 +13,7 @@
 mod server;
 mod slot;
 mod stream;
+mod table;
 
 pub use client::LinkHandle;
 pub use client::StreamLimits;
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -169,7 +169,7 @@
                 Step::Idle
             };
             let shift = async {
-                shifting.board.gate.shifted.listen().await;
+                shifting.board.gate.speed.shifted.listen().await;
                 Step::Shifted
             };
             let changed = async {
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -323,7 +323,8 @@
     if let Some(load) = load.and_then(node.dialect.read_load) {
         node.board
             .gate
-            .set_work_percent(load.work_percent, node.clock.now());
+            .speed
+            .set(load.work_percent, node.clock.now());
     }
 }
 
