fix(gate): keep probes to the deployment's own bound; no line for offers that may not wait

Cause: the rate of load probes stood in the template as 55 a second, the bound of the deployments seen; another deployment may allow fewer. A lower rate would also have let each start wait 25 ms for a probe that could not be made yet.

--- a/crates/mustardtiller/src/board/speed.rs
+++ b/crates/mustardtiller/src/board/speed.rs
@@ -13,11 +13,6 @@
 /// Age from which what an upstream said of its speed no longer counts, in microseconds.
 const KNOWN_MICROS: u64 = 100_000;
 
-/// Age from which what an upstream said of its speed is asked again before a
-/// request starts, in microseconds. Short against the 150 ms for which hosts
-/// keep a speed, and no less than the time between two probes.
-const FRESH_MICROS: u64 = 17_000;
-
 /// How fast the upstream works. Written by whoever hears the upstream.
 #[derive(Debug)]
 pub struct SpeedState {
@@ -48,12 +43,6 @@
         self.heard.notify(usize::MAX);
     }
 
-    /// Report whether what is known is too old to start a request by.
-    #[must_use]
-    pub fn is_stale(&self, now: Instant) -> bool {
-        self.age_micros(now) > FRESH_MICROS
-    }
-
     /// Report whether the upstream has just said that work takes as long as usual.
     #[must_use]
     pub fn is_known_usual(&self, now: Instant) -> bool {
@@ -85,7 +74,9 @@
         }
     }
 
-    fn age_micros(&self, now: Instant) -> u64 {
+    /// Return how old what the upstream last said is, in microseconds.
+    #[must_use]
+    pub fn age_micros(&self, now: Instant) -> u64 {
         let heard = Instant::from_micros(self.heard_at.load(Ordering::Relaxed));
         now.micros_since(heard)
     }
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -18,6 +18,7 @@
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
+use mustardtiller_core::Patience;
 use mustardtiller_core::Presented;
 use mustardtiller_core::Token;
 use mustardtiller_core::Unsent;
@@ -72,7 +73,7 @@
 async fn run(node: &Arc<Node>, unsent: Unsent, req: GateRequest) -> GateAnswer {
     let began = node.clock.now();
     let id = req.header(node.dialect.request_id).cloned();
-    let (kind_digest, deadline) = (req.kind_digest, req.deadline);
+    let (kind_digest, deadline, patience) = (req.kind_digest, req.deadline, req.patience);
     if deadline.has_passed(began) {
         return GateAnswer::refused(unsent.refuse(NotRunReason::DeadlinePassed));
     }
@@ -84,7 +85,11 @@
         Ok(permit) => exchange(node, unsent, req, permit).await,
         Err(reason) => GateAnswer::refused(unsent.refuse(reason)),
     };
-    if let GateAnswer::Refused(verdict) = &answer {
+    // An offer that may not wait goes elsewhere at once; the entry's line names it.
+    let tells = sent || patience == Patience::Queue;
+    if let GateAnswer::Refused(verdict) = &answer
+        && tells
+    {
         let id = id.as_deref().unwrap_or(b"-");
         if node.may_log(id) {
             log_refusal(node, id, sent, *verdict, kind_digest, began, deadline);
--- a/crates/mustardtiller/src/gate/speed.rs
+++ b/crates/mustardtiller/src/gate/speed.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use event_listener::Event as Signal;
@@ -16,6 +17,14 @@
 use mustardtiller_core::Deadline;
 use mustardtiller_core::MeasureBudget;
 
+/// Age from which what an upstream said of its speed is asked again before a
+/// request starts, in microseconds: short against the 150 ms for which hosts
+/// keep a speed.
+const FRESH_MICROS: u64 = 17_000;
+
+/// Microseconds in a second.
+const SECOND_MICROS: u64 = 1_000_000;
+
 /// Time for which a request waits to hear the upstream's speed, in milliseconds;
 /// much more would cost it more than a slow start in one of four does.
 const HEAR_MS: u64 = 25;
@@ -29,6 +38,9 @@
     wanted: Signal,
     waiting: AtomicU32,
     answers: AtomicBool,
+    /// Age up to which news of the speed will do, in microseconds: no less than
+    /// the time between two probes, or requests would wait for one in vain.
+    fresh_micros: AtomicU64,
 }
 
 /// One that waits to hear the speed, counted until it is dropped.
@@ -48,12 +60,14 @@
             wanted: Signal::new(),
             waiting: AtomicU32::new(0),
             answers: AtomicBool::new(false),
+            fresh_micros: AtomicU64::new(FRESH_MICROS),
         }
     }
 
     /// Report whether the upstream's speed is to be asked before a request starts.
     pub fn is_wanted(&self, node: &Node) -> bool {
-        self.answers.load(Ordering::SeqCst) && node.board.gate.speed.is_stale(node.clock.now())
+        let age = node.board.gate.speed.age_micros(node.clock.now());
+        self.answers.load(Ordering::SeqCst) && age > self.fresh_micros.load(Ordering::Relaxed)
     }
 
     /// Wait until the upstream has said how fast it works, or for a moment in vain.
@@ -93,6 +107,8 @@
     }
     let mut budget = MeasureBudget::new(per_second * 1_000, node.clock.now());
     let mut probe = LoadProbe::default();
+    let fresh = FRESH_MICROS.max(SECOND_MICROS / per_second);
+    node.speed.fresh_micros.store(fresh, Ordering::Relaxed);
     node.speed.answers.store(true, Ordering::SeqCst);
     while node.board.phase.read() < Phase::Stopped {
         node.speed.someone().await;
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -73,6 +73,10 @@
 /// Highest price of another place, in microseconds.
 const MAX_FAR_MICROS: u64 = 10_000_000;
 
+/// Usual rate of probes of the upstream's load, in a second: each start can be
+/// told a figure of 20 ms.
+const LOAD_PROBES_PER_S: u64 = 50;
+
 /// Highest rate of probes of the upstream's load, in a second.
 const MAX_LOAD_PROBES: u64 = 1_000;
 
@@ -180,7 +184,8 @@
         let limits = section(source, document, "limits");
         let spread = section(source, document, "spread");
         let discovery = document.sections.iter().find(|s| s.kind == "discovery");
-        let discovery = discovery.map(|section| read_discovery(section, faults));
+        let probes = read_probes(&section(source, document, "probes"), faults);
+        let discovery = discovery.map(|section| read_discovery(section, probes, faults));
         let retries = read_retries(&section(source, document, "retries"), faults);
         let (platform, platform_kind) = read_platform(&platform, faults);
         let (spread, hosts_ms) = read_spread(&spread, faults);
@@ -296,7 +301,19 @@
     (rule, hosts_ms)
 }
 
-fn read_discovery(section: &Section, faults: &mut Vec<Fault>) -> Option<DiscoverySettings> {
+/// Read how often the upstream may be asked for its load.
+fn read_probes(section: &Section, faults: &mut Vec<Fault>) -> u32 {
+    let mut fields = Fields::new(section, faults);
+    let per_s = fields.number_or("per_s", LOAD_PROBES_PER_S, 0..=MAX_LOAD_PROBES);
+    fields.finish();
+    per_s as u32
+}
+
+fn read_discovery(
+    section: &Section,
+    load_probes_per_s: u32,
+    faults: &mut Vec<Fault>,
+) -> Option<DiscoverySettings> {
     let default = TurnRule::default();
     let mut fields = Fields::new(section, faults);
     let upstream = fields.address("upstream");
@@ -311,7 +328,6 @@
     };
     let far_micros = fields.number_or("far_us", 0, 0..=MAX_FAR_MICROS) as u32;
     let far_micros_per_kb = fields.number_or("far_us_per_kb", 0, 0..=MAX_FAR_MICROS) as u32;
-    let load_probes_per_s = fields.number_or("load_probes_per_s", 0, 0..=MAX_LOAD_PROBES) as u32;
     fields.finish();
     Some(DiscoverySettings {
         upstream: upstream?,
@@ -360,6 +376,7 @@
         "spread",
         "discovery",
         "retries",
+        "probes",
     ];
     for (index, section) in document.sections.iter().enumerate() {
         if !known.contains(&section.kind.as_str()) || !section.name.is_empty() {
