fix(spread): who becomes a reader reads at once

Change: a daemon that holds a configuration and finds itself the reader of its place reads at once. reader_change failed before; spread_fleet has the case of all readers gone as well, which passed before too, since of 4,800 daemons some read by chance within 20 s.

--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -146,6 +146,8 @@
     failures: u32,
     /// Until when this host reads for another, and whom it may ask in turn.
     deputy: Option<(Deadline, u8)>,
+    /// It was one of the readers of its place when it last looked.
+    reader: bool,
     peers_asked: bool,
     next_gossip: Deadline,
     next_read: Deadline,
@@ -175,6 +177,7 @@
             reading: false,
             failures: 0,
             deputy: None,
+            reader: false,
             peers_asked: false,
             next_gossip: Deadline::at(now),
             next_read: Deadline::in_millis(now, first_read + rule.peers_ms * 2),
@@ -244,6 +247,7 @@
             };
             self.tell(hosts, count, true, rng, &mut effects);
         }
+        self.become_reader(hosts, now);
         if self.may_read() && self.next_read.has_passed(now) {
             self.reading = true;
             let reader = self.reads(hosts, now);
@@ -253,6 +257,18 @@
         effects
     }
 
+    /// Read at once when the readers before this host have left.
+    ///
+    /// A host that is no reader has put its next read off for minutes.
+    fn become_reader(&mut self, hosts: &HostList, now: Instant) {
+        let reader = hosts.is_reader(&self.me, self.rule.readers);
+        let begins = reader && !self.reader;
+        self.reader = reader;
+        if begins && self.held.revision > 0 && self.failures == 0 {
+            self.next_read = self.next_read.min(Deadline::at(now));
+        }
+    }
+
     /// Report, once, that peers are known who can be asked before the platform.
     ///
     /// The first read of the platform waits for their answers: it may be stale.
--- /dev/null
+++ b/crates/mustardtiller-core/tests/reader_change.rs
@@ -0,0 +1,74 @@
+//! Who watches the platform when the readers of a place leave.
+
+use mustardtiller_core::Digest;
+use mustardtiller_core::HostList;
+use mustardtiller_core::Instant;
+use mustardtiller_core::Member;
+use mustardtiller_core::MemberState;
+use mustardtiller_core::Spread;
+use mustardtiller_core::SpreadEffect;
+use mustardtiller_core::SpreadEvent;
+use mustardtiller_core::SpreadRule;
+use mustardtiller_core::UpstreamName;
+use mustardtiller_core::Version;
+
+const RULE: SpreadRule = SpreadRule {
+    readers: 1,
+    fanout: 3,
+    gossip_ms: 1_000,
+    idle_read_ms: 300_000,
+    retry_ms: 400,
+    max_retry_ms: 2_000,
+    start_ms: 20,
+    fetch_ms: 2_000,
+    peers_ms: 60,
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+fn hosts() -> HostList {
+    let members = (0..4_u8).map(|index| Member {
+        name: UpstreamName::new(&format!("u{index}")),
+        place: "here".into(),
+        link: ([10, 0, 0, index], 9_000).into(),
+        state: MemberState::Live,
+    });
+    HostList {
+        members: members.collect(),
+    }
+}
+
+#[test]
+fn the_next_reader_reads_at_once() {
+    let mut hosts = hosts();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let reads = |hosts: &HostList| {
+        let mut names = hosts.members.iter().map(|member| member.name.clone());
+        names.find(|name| hosts.is_reader(name, 1))
+    };
+    let first = reads(&hosts).expect("one of them reads");
+    let mut rest = hosts.clone();
+    rest.members.retain(|member| member.name != first);
+    let second = reads(&rest).expect("another reads then");
+    let mut spread = Spread::new(second, "here".into(), RULE, at(0), &mut rng);
+    let version = Version {
+        revision: 1,
+        digest: Digest([1; 16]),
+    };
+    for event in [
+        SpreadEvent::PlatformHas(version),
+        SpreadEvent::Accepted(version),
+        SpreadEvent::PlatformHas(version),
+        SpreadEvent::Tick,
+    ] {
+        let _ = spread.step(event, &hosts, at(100), &mut rng);
+    }
+    let quiet = spread.step(SpreadEvent::Tick, &hosts, at(10_000), &mut rng);
+    let read = SpreadEffect::ReadPlatform { watch: true };
+    assert!(!quiet.contains(&read), "another reads for it");
+    hosts = rest;
+    let next = spread.step(SpreadEvent::Tick, &hosts, at(10_100), &mut rng);
+    assert!(next.contains(&read), "it is the reader now: {next:?}");
+}
--- a/crates/mustardtiller-core/tests/spread_fleet.rs
+++ b/crates/mustardtiller-core/tests/spread_fleet.rs
@@ -59,6 +59,8 @@
     published: Version,
     published_at: u64,
     split: Option<(u64, u64)>,
+    /// Members that have ended.
+    gone: HashSet<usize>,
     /// Members that the platform refuses.
     refused: HashSet<usize>,
     loss_percent: u8,
@@ -107,6 +109,7 @@
             published: version(1),
             published_at: 0,
             split: None,
+            gone: HashSet::new(),
             refused: HashSet::new(),
             loss_percent,
             datagrams: 0,
@@ -167,6 +170,9 @@
     }
 
     fn take(&mut self, now: u64, index: usize, happening: Happening) {
+        if self.gone.contains(&index) {
+            return;
+        }
         let event = match happening {
             Happening::Tick => SpreadEvent::Tick,
             Happening::Heard {
@@ -326,6 +332,26 @@
     assert!(reads < 2_000, "{reads} reads meanwhile");
 }
 
+#[test]
+fn readers_that_have_left_are_replaced() {
+    let mut fleet = Fleet::new(5);
+    let started = fleet.run(60 * SECOND, true);
+    let readers = SpreadRule::default().readers;
+    let hosts = fleet.hosts.clone();
+    let is_reader = |member: &Member| hosts.is_reader(&member.name, readers);
+    let left = (0..MEMBERS).filter(|&index| is_reader(&hosts.members[index]));
+    fleet.gone = left.collect();
+    fleet.hosts.members.retain(|member| !is_reader(member));
+    let at = started + 5 * SECOND;
+    fleet.run(at, false);
+    fleet.publish(2, at);
+    fleet.run(at + 20 * SECOND, false);
+    let missing = (0..MEMBERS)
+        .filter(|index| !fleet.gone.contains(index))
+        .filter(|&index| fleet.members[index].held() != version(2));
+    assert_eq!(missing.count(), 0, "some daemons hold the version before");
+}
+
 #[test]
 fn an_outage_is_not_handed_on_for_ever() {
     let mut fleet = Fleet::new(0);
