--- a/crates/mustardtiller-core/src/admit/speed.rs
+++ b/crates/mustardtiller-core/src/admit/speed.rs
@@ -57,8 +57,7 @@
         if !self.is_spell() {
             return 0;
         }
-        let over = self.percent.saturating_sub(USUAL_PERCENT) as u64;
-        let lost = service_micros * over / USUAL_PERCENT as u64;
+        let lost = self.slowed_micros(service_micros) - service_micros;
         if lost > SPELL_MICROS { SPELL_MICROS } else { 0 }
     }
 }
--- a/crates/mustardtiller/src/controllers/registry.rs
+++ b/crates/mustardtiller/src/controllers/registry.rs
@@ -72,6 +72,8 @@
     platform: Arc<dyn PublishedSource>,
     turn: ReadTurn,
     held: Registry,
+    /// The own place in the order in which daemons read, by the registry held.
+    rank: Rank,
     known: bool,
     reading: bool,
     fetching: bool,
@@ -98,6 +100,7 @@
         platform,
         turn: ReadTurn::new(discovery.turn, now),
         held: Registry::default(),
+        rank: Rank::default(),
         known: false,
         reading: false,
         fetching: false,
@@ -153,12 +156,12 @@
         if self.reading {
             return ask;
         }
-        ask.min(self.turn.next_read(self.read_at(), self.rank()))
+        ask.min(self.turn.next_read(self.read_at(), self.rank))
     }
 
     async fn tick(&mut self) {
         let now = self.node.clock.now();
-        let due = self.turn.next_read(self.read_at(), self.rank());
+        let due = self.turn.next_read(self.read_at(), self.rank);
         if !self.reading && due.has_passed(now) {
             self.reading = true;
             self.read(now);
@@ -174,8 +177,8 @@
         }
     }
 
-    /// Return the own place in the order in which daemons read.
-    fn rank(&self) -> Rank {
+    /// Find the own place in the order in which daemons read.
+    fn find_rank(&self) -> Rank {
         let here = &self.node.board.identity.place;
         let own = weight(self.node.settings.link);
         let peers = self.held.entries().filter(|entry| entry.place == *here);
@@ -233,7 +236,7 @@
     async fn take_read(&mut self, began: Instant, registrations: Option<Registrations>) {
         self.reading = false;
         let now = self.node.clock.now();
-        let rank = self.rank();
+        let rank = self.rank;
         let Some(registrations) = registrations else {
             self.node.metrics.count(Counted::PlatformFailures);
             self.turn
@@ -273,7 +276,7 @@
     /// Tell the own place what was heard from another, if that is up to this daemon.
     async fn pass_on(&self, peer: SocketAddr, before: u64, delta: &RegistryDelta) {
         let own_place = self.own_place();
-        if self.rank().is_first() && !own_place.contains(&peer) {
+        if self.rank.is_first() && !own_place.contains(&peer) {
             self.tell(own_place, &self.news(before, delta)).await;
         }
     }
@@ -340,6 +343,7 @@
     /// Hold a newer registry and put what changed on the board.
     fn put(&mut self, registry: Registry, delta: &RegistryDelta) {
         self.held = registry;
+        self.rank = self.find_rank();
         let first = !std::mem::replace(&mut self.known, true);
         if !first && delta.changed.is_empty() && delta.removed.is_empty() {
             return;
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -112,14 +112,13 @@
     /// Returns why there is no slot.
     pub async fn admit(&self, node: &Arc<Node>, req: &GateRequest) -> Result<Permit, NotRunReason> {
         let gate = &node.board.gate;
-        let mut may_start = begin(node, req)?;
-        if may_start && node.speed.is_wanted(node) {
+        let mut limit = begin(node, req)?;
+        if limit.is_some() && node.speed.is_wanted(node) {
             node.speed.hear(node).await;
-            may_start = begin(node, req)?;
+            limit = begin(node, req)?;
         }
         let caller = Arc::clone(gate.callers.read().find(&req.caller));
-        let limit = gate.forecast(req.kind_digest, node.clock.now()).limit();
-        if may_start && gate.try_take(limit) {
+        if limit.is_some_and(|limit| gate.try_take(limit)) {
             return Ok(Permit::new(node, caller));
         }
         node.metrics.count(Counted::Queued);
@@ -141,8 +140,8 @@
     }
 }
 
-/// Decide whether a request may start at once; `false` if it is to wait.
-fn begin(node: &Node, req: &GateRequest) -> Result<bool, NotRunReason> {
+/// Return the slots up to which a request may start at once; `None` if it is to wait.
+fn begin(node: &Node, req: &GateRequest) -> Result<Option<u32>, NotRunReason> {
     if node.refuses_new_work() {
         return Err(NotRunReason::Leaving);
     }
@@ -150,14 +149,14 @@
     if gate.waiting() > 0 {
         return match req.patience {
             Patience::None => Err(NotRunReason::Busy),
-            Patience::Queue => Ok(false),
+            Patience::Queue => Ok(None),
         };
     }
     let forecast = gate.forecast(req.kind_digest, node.clock.now());
     match decide(node, &forecast, &wish(req), 0) {
         Admission::Refuse(reason) => Err(reason),
-        Admission::Start => Ok(true),
-        Admission::Wait => Ok(false),
+        Admission::Start => Ok(Some(forecast.limit())),
+        Admission::Wait => Ok(None),
     }
 }
 
