fix(link): measure the peer's clock again while its estimate is too wide

Cause: the handshake's clock sample was the only one that a link with traffic ever got. A handshake that was held back, or a pause of either end in it, left an error as large as the deadlines in use; every deadline was made earlier by it, so the gate refused every call as `deadline-passed` until the link broke. Without such an event, 200 ppm of drift did the same within hours.

The decision is pure (`ClockOffset::needs_exchange`, `SilenceWatch::step`).

--- a/crates/mustardtiller-core/src/time/offset.rs
+++ b/crates/mustardtiller-core/src/time/offset.rs
@@ -11,6 +11,12 @@
 /// Largest drift between two monotonic clocks, in parts per million.
 const DRIFT_PPM: u64 = 200;
 
+/// Error bound above which another exchange is due, in microseconds.
+///
+/// Every deadline is made earlier by the error bound. This is a small part of the
+/// deadlines in use, and more than half a round trip between regions.
+const MAX_ERROR_MICROS: u64 = 25_000;
+
 /// One exchange of clock readings with a peer.
 #[derive(Clone, Copy, Debug)]
 pub struct ClockSample {
@@ -94,6 +100,13 @@
         Some(Instant::from_micros(there))
     }
 
+    /// Report whether another exchange is due: there was none, or its error is too large.
+    #[must_use]
+    pub fn needs_exchange(&self, now: Instant) -> bool {
+        let best = self.best(now);
+        best.is_none_or(|best| best.error_micros(now) > MAX_ERROR_MICROS)
+    }
+
     fn best(&self, now: Instant) -> Option<&ClockSample> {
         self.samples.iter().min_by_key(|s| s.error_micros(now))
     }
--- a/crates/mustardtiller/src/controllers/links.rs
+++ b/crates/mustardtiller/src/controllers/links.rs
@@ -30,7 +30,8 @@
             let mut watch = watches
                 .remove(&Arc::as_ptr(&link).addr())
                 .unwrap_or_default();
-            match watch.step(&rule, link.open_streams(), link.frames()) {
+            let needs_exchange = link.needs_clock_exchange(now);
+            match watch.step(&rule, link.open_streams(), link.frames(), needs_exchange) {
                 SilenceEffect::Nothing => {}
                 SilenceEffect::Ping => link.ping(now),
                 SilenceEffect::Close => {
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -132,6 +132,12 @@
         self.offset.load().peer_now(now)
     }
 
+    /// Report whether the estimate of the gate's clock is too wide for deadlines.
+    #[must_use]
+    pub fn needs_clock_exchange(&self, now: Instant) -> bool {
+        self.offset.load().needs_exchange(now)
+    }
+
     /// Open a stream and send the request's head.
     ///
     /// `deadlines` are in this daemon's time; the frame carries them in the gate's time.
--- a/crates/mustardtiller/src/link/connector.rs
+++ b/crates/mustardtiller/src/link/connector.rs
@@ -97,6 +97,10 @@
         "{name}, gate incarnation {}",
         link.gate_incarnation()
     ));
+    let now = node.clock.now();
+    if link.needs_clock_exchange(now) {
+        link.ping(now);
+    }
     candidate.link_slot.set(Some(Arc::clone(&link)));
     let end = table
         .run(
