--- a/crates/mustardtiller-core/src/discover/read_schedule.rs
+++ b/crates/mustardtiller-core/src/discover/read_schedule.rs
@@ -6,6 +6,13 @@
 /// Ages and waits of [`ReadSchedule`].
 #[derive(Clone, Copy, Debug)]
 pub struct ReadScheduleRule {
+    /// Longest wait for a peer's registry while a caller needs one, in milliseconds.
+    ///
+    /// Each daemon draws its own wait, so that of a fleet that starts at once a few
+    /// daemons read and hand the registry to the others.
+    pub listen_ms: u64,
+    /// Longest wait for a peer's registry while no caller needs one, in milliseconds.
+    pub idle_listen_ms: u64,
     /// Age of the registry at which the first in rank reads, in milliseconds.
     pub read_ms: u64,
     /// Additional age for each daemon before this one in its place, in milliseconds.
@@ -27,6 +34,8 @@
 impl Default for ReadScheduleRule {
     fn default() -> Self {
         Self {
+            listen_ms: 2_000,
+            idle_listen_ms: 6_000,
             read_ms: 600,
             step_ms: 250,
             place_step_ms: 100,
@@ -49,6 +58,23 @@
 }
 
 impl Rank {
+    /// Report whether the daemon's upstream is registered.
+    #[must_use]
+    pub const fn is_listed(self) -> bool {
+        self.within_place != usize::MAX
+    }
+
+    /// Return the rank of a daemon whose upstream is not registered.
+    ///
+    /// It reads after all others, since no daemon would forward its reads.
+    #[must_use]
+    pub const fn unlisted(place: usize) -> Self {
+        Self {
+            within_place: usize::MAX,
+            place,
+        }
+    }
+
     /// Report whether the daemon is first in its place.
     ///
     /// The first forwards within its place what it receives from other places.
@@ -75,20 +101,30 @@
 /// registry grows older, because the first is gone, paused or cut off, reads
 /// for itself. Later places and ranks wait longer, so that daemons don't all
 /// call the platform at once during an outage.
+///
+/// A daemon that has started listens first: its neighbours connect to it and give
+/// it the registry. It reads for itself if none has done so when its wait ends.
 #[derive(Debug)]
 pub struct ReadSchedule {
     rule: ReadScheduleRule,
+    /// This daemon's draw: its part of the longest wait, in thousandths.
+    wait_milli: u64,
+    listen_until: Deadline,
     not_before: Deadline,
     failures: u32,
     keep_missing_until: Option<Deadline>,
 }
 
 impl ReadSchedule {
-    /// Create a schedule whose first read is due at `now`.
+    /// Create a schedule whose first read is due when the drawn wait for peers ends.
     #[must_use]
-    pub const fn new(rule: ReadScheduleRule, now: Instant) -> Self {
+    pub fn new(rule: ReadScheduleRule, now: Instant, rng: &mut fastrand::Rng) -> Self {
+        let wait_milli = rng.u64(0..=1_000);
+        let wait_ms = rule.idle_listen_ms * wait_milli / 1_000;
         Self {
             rule,
+            wait_milli,
+            listen_until: Deadline::in_millis(now, wait_ms),
             not_before: Deadline::at(now),
             failures: 0,
             keep_missing_until: None,
@@ -100,7 +136,7 @@
     /// `read_at` is when the registry that it holds was read; `None` if it holds none.
     #[must_use]
     pub fn next_read(&self, read_at: Option<Instant>, rank: Rank) -> Deadline {
-        let scheduled = read_at.map_or(self.not_before, |read_at| {
+        let scheduled = read_at.map_or(self.listen_until, |read_at| {
             let steps = rank.within_place.min(self.rule.ranks) as u64 * self.rule.step_ms;
             let places = rank.place as u64 * self.rule.place_step_ms;
             Deadline::in_millis(read_at, self.rule.read_ms + steps + places)
@@ -108,6 +144,12 @@
         scheduled.max(self.not_before)
     }
 
+    /// Record that a caller needs a registry: the wait for a peer's is shortened.
+    pub fn record_demand(&mut self, now: Instant) {
+        let wait_ms = self.rule.listen_ms * self.wait_milli / 1_000;
+        self.listen_until = self.listen_until.min(Deadline::in_millis(now, wait_ms));
+    }
+
     /// Record the result of a read, and back off with jitter if it failed.
     pub fn record_outcome(
         &mut self,
--- a/crates/mustardtiller-core/src/discover/registry.rs
+++ b/crates/mustardtiller-core/src/discover/registry.rs
@@ -55,19 +55,38 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<UpstreamName, Arc<Registration>>,
+    /// Revision of the platform at which it was read.
+    ///
+    /// Orders the reads of all daemons, whatever the delay of the message that
+    /// brought them.
+    pub revision: u64,
     /// When it was read from the platform, in this process's time.
     pub read_at: Instant,
 }
 
 impl Registry {
-    /// Create a registry from entries that were read at `read_at`.
+    /// Create a registry from entries that were read at `read_at`, at a revision.
     #[must_use]
-    pub fn new(entries: impl IntoIterator<Item = Registration>, read_at: Instant) -> Self {
+    pub fn new(
+        entries: impl IntoIterator<Item = Registration>,
+        revision: u64,
+        read_at: Instant,
+    ) -> Self {
         let entries = entries
             .into_iter()
             .map(|entry| (entry.name.clone(), Arc::new(entry)))
             .collect();
-        Self { entries, read_at }
+        Self {
+            entries,
+            revision,
+            read_at,
+        }
+    }
+
+    /// Report whether a read at `revision` and `read_at` is newer than this one.
+    #[must_use]
+    pub fn is_older_than(&self, revision: u64, read_at: Instant) -> bool {
+        (self.revision, self.read_at) < (revision, read_at)
     }
 
     /// Return every entry, in order of name.
@@ -137,9 +156,9 @@
         RegistryDelta { changed, removed }
     }
 
-    /// Apply a delta, and return the result as read at `read_at`.
+    /// Apply a delta, and return the result as read at `read_at`, at a revision.
     #[must_use]
-    pub fn with_delta(&self, delta: &RegistryDelta, read_at: Instant) -> Self {
+    pub fn with_delta(&self, delta: &RegistryDelta, revision: u64, read_at: Instant) -> Self {
         let mut entries = self.entries.clone();
         for name in &delta.removed {
             entries.remove(name);
@@ -147,7 +166,11 @@
         for entry in &delta.changed {
             entries.insert(entry.name.clone(), Arc::clone(entry));
         }
-        Self { entries, read_at }
+        Self {
+            entries,
+            revision,
+            read_at,
+        }
     }
 
     /// Add the entries of `older` that this read lacks.
--- a/crates/mustardtiller-core/src/spread/hosts.rs
+++ b/crates/mustardtiller-core/src/spread/hosts.rs
@@ -67,6 +67,19 @@
         before.take(readers).count() < readers
     }
 
+    /// Return how many places come before `place` in order of name, and how many there are.
+    #[must_use]
+    pub fn place_order(&self, place: &PlaceName) -> (usize, usize) {
+        let mut places: SmallVec<[&PlaceName; 16]> = SmallVec::new();
+        for member in &self.members {
+            if !places.contains(&&member.place) {
+                places.push(&member.place);
+            }
+        }
+        let before = places.iter().filter(|other| ***other < *place).count();
+        (before, places.len().max(1))
+    }
+
     /// Draw up to `count` random peers other than `me`.
     ///
     /// Half of the draws are from `place`, where the network is cheap; the rest
--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -25,6 +25,14 @@
 /// A reader that still fails delegates again with each of its retries.
 const DELEGATION_MS: u64 = 4_000;
 
+/// Steps for which a host waits that knows no other host.
+///
+/// In a fleet that has just started, all hosts are such.
+const STEPS_WITHOUT_HOSTS: usize = 5;
+
+/// Rounds of gossip of a daemon without a configuration, for one round of another.
+const UNCONFIGURED_GOSSIP: u64 = 4;
+
 /// Intervals, waits and counts of [`Spread`].
 #[derive(Clone, Copy, Debug)]
 pub struct SpreadRule {
@@ -33,7 +41,13 @@
     /// Number of peers to which a new version is advertised.
     pub fanout: usize,
     /// Interval between two rounds of gossip, in milliseconds.
+    ///
+    /// A daemon without a configuration queries its peers four times as often.
     pub gossip_ms: u64,
+    /// Time after which one of the readers asks the platform again, in milliseconds.
+    pub watch_step_ms: u64,
+    /// Longest wait of one watch, in milliseconds.
+    pub max_watch_ms: u64,
     /// Interval between two reads of a host that is not a reader, in milliseconds.
     pub idle_read_ms: u64,
     /// First wait after a failed read, in milliseconds; doubles.
@@ -42,6 +56,8 @@
     pub max_retry_ms: u64,
     /// Time over which the first reads of the fleet are spread, in milliseconds.
     pub start_ms: u64,
+    /// Longest wait of a host that knows no other host for its first read, in milliseconds.
+    pub alone_ms: u64,
     /// Time after which a fetch counts as failed, in milliseconds.
     pub fetch_ms: u64,
     /// Time that a daemon without a configuration waits for its peers, in milliseconds.
@@ -54,10 +70,13 @@
             readers: 3,
             fanout: 3,
             gossip_ms: 1_000,
+            watch_step_ms: 20_000,
+            max_watch_ms: 20_000,
             idle_read_ms: 300_000,
             retry_ms: 500,
             max_retry_ms: 15_000,
             start_ms: 200,
+            alone_ms: 200,
             fetch_ms: 2_000,
             peers_ms: 300,
         }
@@ -114,8 +133,8 @@
     },
     /// Read the version that the platform holds.
     ReadPlatform {
-        /// Whether to wait for a change (long poll).
-        watch: bool,
+        /// Until when to wait for a change (long poll); `None` to read at once.
+        wait_until: Option<Deadline>,
     },
     /// Fetch a configuration from a peer.
     FetchFromPeer {
@@ -131,6 +150,15 @@
     },
 }
 
+/// Which watch of a reader is next, since the turns of the places began.
+#[derive(Clone, Copy, Debug)]
+enum WatchTurn {
+    /// The first, whose length puts the reader in its turn.
+    First,
+    /// A later one; all readers' are equally long.
+    Later,
+}
+
 /// One daemon's part in distributing configurations.
 ///
 /// The version held never decreases, whoever offers a lower one. A daemon that
@@ -151,6 +179,7 @@
     delegation: Option<(Deadline, u8)>,
     /// Whether this host was a reader of its place at the last tick.
     was_reader: bool,
+    turn: WatchTurn,
     peers_queried: bool,
     next_gossip: Deadline,
     next_read: Deadline,
@@ -169,7 +198,7 @@
         now: Instant,
         rng: &mut fastrand::Rng,
     ) -> Self {
-        let first_read = rule.start_ms / 2 + rng.u64(0..=rule.start_ms / 2);
+        let first_read = rule.alone_ms / 2 + rng.u64(0..=rule.alone_ms / 2);
         Self {
             me,
             place,
@@ -181,6 +210,7 @@
             failures: 0,
             delegation: None,
             was_reader: false,
+            turn: WatchTurn::First,
             peers_queried: false,
             next_gossip: Deadline::at(now),
             next_read: Deadline::in_millis(now, first_read + rule.peers_ms * 2),
@@ -221,7 +251,7 @@
             } => self.handle_peer_has(peer, version, wants_reply, now),
             SpreadEvent::PlatformHas(version) => self.handle_platform_has(version, hosts, now, rng),
             SpreadEvent::PlatformFailed => self.handle_platform_failed(hosts, now, rng),
-            SpreadEvent::Accepted(version) => self.handle_accepted(version, hosts, rng),
+            SpreadEvent::Accepted(version) => self.handle_accepted(version, hosts, now, rng),
             SpreadEvent::Refused(version) => self.handle_refused(version),
             SpreadEvent::FetchFailed => {
                 self.fetching = None;
@@ -241,13 +271,12 @@
             self.fetching = None;
         }
         if self.query_peers_first(hosts, now, rng) || self.next_gossip.has_passed(now) {
-            let millis = jittered(self.rule.gossip_ms, rng);
-            self.next_gossip = Deadline::in_millis(now, millis);
-            let count = if self.held.revision == 0 {
-                self.rule.fanout
+            let (interval_ms, count) = if self.held.revision == 0 {
+                (self.rule.gossip_ms / UNCONFIGURED_GOSSIP, self.rule.fanout)
             } else {
-                1
+                (self.rule.gossip_ms, 1)
             };
+            self.next_gossip = Deadline::in_millis(now, jittered(interval_ms, rng));
             self.advertise(hosts, count, true, rng, &mut effects);
         }
         self.update_reader(hosts, now);
@@ -255,11 +284,32 @@
             self.reading = true;
             let watches = self.watches_platform(hosts, now);
             let watch = watches && self.held.revision > 0 && self.failures == 0;
-            effects.push(SpreadEffect::ReadPlatform { watch });
+            let wait_until = watch.then(|| self.watch_until(hosts, now));
+            effects.push(SpreadEffect::ReadPlatform { wait_until });
         }
         effects
     }
 
+    /// Return until when the next watch waits.
+    ///
+    /// Readers of different places take turns: each waits one step for every place,
+    /// and the first time one step for every place up to its own. So one of them
+    /// asks the platform again each step, although few calls are made, and a watch
+    /// whose connection has gone silent delays a change by a step.
+    fn watch_until(&mut self, hosts: &HostList, now: Instant) -> Deadline {
+        let (before, places) = hosts.place_order(&self.place);
+        let steps = if hosts.members.is_empty() {
+            STEPS_WITHOUT_HOSTS
+        } else {
+            match std::mem::replace(&mut self.turn, WatchTurn::Later) {
+                WatchTurn::First => before + 1,
+                WatchTurn::Later => places,
+            }
+        };
+        let millis = (steps as u64 * self.rule.watch_step_ms).min(self.rule.max_watch_ms);
+        Deadline::in_millis(now, millis)
+    }
+
     /// Read at once if this host has become a reader since the last tick.
     ///
     /// Otherwise its first read could be minutes away, since the next read of a
@@ -288,7 +338,9 @@
             return false;
         }
         self.peers_queried = true;
-        let extra_wait = if hosts.is_reader(&self.me, self.rule.readers) {
+        // A host that is not listed yet is a reader too, but others read before it.
+        let is_listed = hosts.state_of(&self.me).is_some();
+        let extra_wait = if is_listed && hosts.is_reader(&self.me, self.rule.readers) {
             0
         } else {
             self.rule.start_ms + rng.u64(0..=self.rule.start_ms)
@@ -335,6 +387,8 @@
         };
         self.next_read = Deadline::in_millis(now, wait);
         if self.should_fetch(version) {
+            // All watches end with a change, so the turns begin anew.
+            self.turn = WatchTurn::First;
             self.begin_fetch(version, now);
             effects.push(SpreadEffect::FetchFromPlatform { version });
         } else {
@@ -405,11 +459,17 @@
         &mut self,
         version: Version,
         hosts: &HostList,
+        now: Instant,
         rng: &mut fastrand::Rng,
     ) -> SpreadEffects {
         let mut effects = SpreadEffects::new();
         self.end_fetch(version);
         self.failures = 0;
+        if self.held.revision == 0 && !self.watches_platform(hosts, now) {
+            // Peers have answered, so the first read is not needed.
+            let wait = jittered(self.rule.idle_read_ms, rng);
+            self.next_read = self.next_read.max(Deadline::in_millis(now, wait));
+        }
         if version > self.held {
             self.held = version;
             self.advertise(hosts, self.rule.fanout, false, rng, &mut effects);
--- /dev/null
+++ b/crates/mustardtiller-core/tests/first_reads.rs
@@ -0,0 +1,201 @@
+//! Reads of the platform by a fleet that starts at once, and by readers that take turns.
+
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Digest;
+use mustardtiller_core::HostList;
+use mustardtiller_core::Instant;
+use mustardtiller_core::Member;
+use mustardtiller_core::MemberState;
+use mustardtiller_core::Rank;
+use mustardtiller_core::ReadSchedule;
+use mustardtiller_core::ReadScheduleRule;
+use mustardtiller_core::Spread;
+use mustardtiller_core::SpreadEffect;
+use mustardtiller_core::SpreadEvent;
+use mustardtiller_core::SpreadRule;
+use mustardtiller_core::Version;
+
+/// Time from the start of a read until every other daemon holds its result, in milliseconds.
+const HANDOVER_MS: u64 = 250;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+/// Start `daemons` at once, each with callers; return how many read, and when all hold
+/// a registry, in milliseconds.
+fn start_at_once(daemons: usize, seed: u64) -> (usize, u64) {
+    let rule = ReadScheduleRule::default();
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut waits: Vec<Deadline> = Vec::new();
+    for _ in 0..daemons {
+        let mut schedule = ReadSchedule::new(rule, at(0), &mut rng);
+        schedule.record_demand(at(0));
+        waits.push(schedule.next_read(None, Rank::default()));
+    }
+    let first = waits.iter().min().expect("the fleet is not empty");
+    let told = first.instant().plus_micros(HANDOVER_MS * 1_000);
+    let reads = waits.iter().filter(|wait| wait.instant() < told);
+    (reads.count(), told.as_micros() / 1_000)
+}
+
+#[test]
+fn few_of_a_large_fleet_read_at_its_start() {
+    for seed in 0..20 {
+        let (reads, told) = start_at_once(4_800, seed);
+        assert!(reads < 4_800 / 6, "seed {seed}: {reads} reads");
+        assert!(told < HANDOVER_MS + 20, "seed {seed}: {told} ms");
+    }
+}
+
+#[test]
+fn a_fleet_without_callers_waits_for_registrations() {
+    // Upstreams register about a second after their start: an earlier read finds none.
+    let rule = ReadScheduleRule::default();
+    let mut rng = fastrand::Rng::with_seed(2);
+    let mut early = 0;
+    for _ in 0..300 {
+        let schedule = ReadSchedule::new(rule, at(0), &mut rng);
+        let first = schedule.next_read(None, Rank::default());
+        early += usize::from(first < Deadline::at(at(1_500)));
+    }
+    assert!(early < 300 / 3, "{early} of 300 read before that");
+}
+
+#[test]
+fn a_small_fleet_starts_soon() {
+    let mut told: Vec<u64> = (0..50).map(|seed| start_at_once(12, seed).1).collect();
+    told.sort_unstable();
+    assert!(told[25] < HANDOVER_MS + 250, "median {} ms", told[25]);
+}
+
+#[test]
+fn unheard_daemons_read_in_the_end() {
+    let rule = ReadScheduleRule::default();
+    let mut rng = fastrand::Rng::with_seed(4);
+    for _ in 0..100 {
+        let schedule = ReadSchedule::new(rule, at(5), &mut rng);
+        let first = schedule.next_read(None, Rank::default());
+        assert!(first <= Deadline::at(at(5 + rule.idle_listen_ms)));
+    }
+}
+
+#[test]
+fn a_waiting_caller_shortens_the_wait() {
+    let rule = ReadScheduleRule::default();
+    let mut rng = fastrand::Rng::with_seed(4);
+    for _ in 0..100 {
+        let mut schedule = ReadSchedule::new(rule, at(0), &mut rng);
+        schedule.record_demand(at(1_000));
+        let first = schedule.next_read(None, Rank::default());
+        assert!(first <= Deadline::at(at(1_000 + rule.listen_ms)));
+        schedule.record_demand(at(1_500));
+        assert_eq!(
+            schedule.next_read(None, Rank::default()),
+            first,
+            "only once"
+        );
+    }
+}
+
+#[test]
+fn a_peers_registry_ends_the_wait() {
+    let rule = ReadScheduleRule::default();
+    let mut rng = fastrand::Rng::with_seed(4);
+    let schedule = ReadSchedule::new(rule, at(0), &mut rng);
+    let first_of_place = schedule.next_read(Some(at(10)), Rank::default());
+    assert_eq!(first_of_place, Deadline::at(at(10 + rule.read_ms)));
+    let unlisted = schedule.next_read(Some(at(10)), Rank::unlisted(0));
+    assert!(unlisted >= Deadline::at(at(10 + rule.read_ms + 4 * rule.step_ms)));
+}
+
+/// One host in each of `places`; each is the only reader of its place.
+fn one_host_a_place(places: usize) -> HostList {
+    let member = |place: usize| Member {
+        name: format!("h{place}").as_str().into(),
+        place: format!("p{place}").as_str().into(),
+        link: ([10, 0, 0, place as u8], 7).into(),
+        state: MemberState::Live,
+    };
+    HostList {
+        members: (0..places).map(member).collect(),
+    }
+}
+
+/// Run the readers for `millis` after a change at 0 that ends all their watches.
+///
+/// Returns when each reader's reads begin. The watches of the places in `silent` don't
+/// end before `millis`.
+fn watch_in_turns(places: usize, millis: u64, silent: &[usize]) -> Vec<u64> {
+    let hosts = one_host_a_place(places);
+    let rule = SpreadRule {
+        readers: 1,
+        watch_step_ms: 1_000,
+        ..SpreadRule::default()
+    };
+    let mut rng = fastrand::Rng::with_seed(6);
+    let version = Version {
+        revision: 1,
+        digest: Digest([1; 16]),
+    };
+    let mut reads = Vec::new();
+    for place in 0..places {
+        let member = &hosts.members[place];
+        let mut spread = Spread::new(
+            member.name.clone(),
+            member.place.clone(),
+            rule,
+            at(0),
+            &mut rng,
+        );
+        spread.step(SpreadEvent::PlatformHas(version), &hosts, at(0), &mut rng);
+        spread.step(SpreadEvent::Accepted(version), &hosts, at(0), &mut rng);
+        let mut now = 0;
+        while now < millis {
+            let effects = spread.step(SpreadEvent::Tick, &hosts, at(now), &mut rng);
+            let until = effects.iter().find_map(|effect| match effect {
+                SpreadEffect::ReadPlatform { wait_until } => *wait_until,
+                _ => None,
+            });
+            let Some(until) = until else {
+                now += 1;
+                continue;
+            };
+            reads.push(now);
+            if silent.contains(&place) {
+                break;
+            }
+            now = until.instant().as_micros() / 1_000;
+            spread.step(SpreadEvent::PlatformHas(version), &hosts, at(now), &mut rng);
+        }
+    }
+    reads.sort_unstable();
+    reads
+}
+
+/// Return the longest time between two reads, in milliseconds.
+fn longest_gap(reads: &[u64]) -> u64 {
+    let gaps = reads.windows(2).map(|pair| pair[1] - pair[0]);
+    gaps.max().expect("there are two reads")
+}
+
+#[test]
+fn watches_of_all_places_cost_as_much_as_one() {
+    for places in [1, 3, 5, 13] {
+        let reads = watch_in_turns(places, 60_000, &[]);
+        assert!(
+            reads.len() <= 60 + 2 * places,
+            "{places} places: {} reads in a minute",
+            reads.len()
+        );
+        assert!(longest_gap(&reads) <= 1_000, "{places} places");
+    }
+}
+
+#[test]
+fn a_silent_watch_is_covered_by_the_next_place() {
+    for silent in 0..5 {
+        let reads = watch_in_turns(5, 60_000, &[silent]);
+        assert!(longest_gap(&reads) <= 2_000, "place {silent} is silent");
+    }
+}
--- a/crates/mustardtiller-core/tests/read_schedule.rs
+++ b/crates/mustardtiller-core/tests/read_schedule.rs
@@ -49,8 +49,10 @@
     let mut rng = fastrand::Rng::with_seed(3);
     let all = (0..places).flat_map(|place| (0..daemons).map(move |within| rank(within, place)));
     let all: Vec<Rank> = all.collect();
-    let mut schedules: Vec<ReadSchedule> =
-        all.iter().map(|_| ReadSchedule::new(rule, at(0))).collect();
+    let mut schedules: Vec<ReadSchedule> = all
+        .iter()
+        .map(|_| ReadSchedule::new(rule, at(0), &mut rng))
+        .collect();
     let mut read_at: Vec<Option<Instant>> = vec![None; places];
     let (mut reads, mut oldest) = (0, 0);
     for now in 0..millis {
@@ -136,7 +138,8 @@
 
 #[test]
 fn entries_missing_after_a_gap_are_kept_for_a_while() {
-    let mut schedule = ReadSchedule::new(ReadScheduleRule::default(), at(0));
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut schedule = ReadSchedule::new(ReadScheduleRule::default(), at(0), &mut rng);
     assert!(!schedule.keeps_missing(Some(at(1_000)), at(1_600)));
     assert!(schedule.keeps_missing(Some(at(1_600)), at(6_000)));
     assert!(schedule.keeps_missing(Some(at(7_400)), at(8_000)));
@@ -147,7 +150,7 @@
 fn newest_incarnation_owns_the_address() {
     let (old, new) = (entry("a", 1, 10), entry("b", 1, 20));
     let other = entry("c", 2, 5);
-    let registry = Registry::new([old.clone(), new.clone(), other.clone()], at(0));
+    let registry = Registry::new([old.clone(), new.clone(), other.clone()], 1, at(0));
     assert!(!registry.is_newest(&old));
     assert!(registry.is_newest(&new) && registry.is_newest(&other));
     assert_eq!(
@@ -169,9 +172,9 @@
         entries
     };
     for _ in 0..200 {
-        let before = Registry::new(draw(&mut rng), at(1));
-        let after = Registry::new(draw(&mut rng), at(2));
-        let applied = before.with_delta(&after.delta_from(&before), at(2));
+        let before = Registry::new(draw(&mut rng), 1, at(1));
+        let after = Registry::new(draw(&mut rng), 2, at(2));
+        let applied = before.with_delta(&after.delta_from(&before), 2, at(2));
         assert_eq!(applied.digest(), after.digest());
         assert_eq!(applied.len(), after.len());
     }
@@ -180,7 +183,7 @@
 #[test]
 fn each_rank_reads_one_step_later() {
     let rule = ReadScheduleRule::default();
-    let schedule = ReadSchedule::new(rule, at(0));
+    let schedule = ReadSchedule::new(rule, at(0), &mut fastrand::Rng::with_seed(1));
     let first = schedule.next_read(Some(at(100)), rank(0, 0));
     let second = schedule.next_read(Some(at(100)), rank(1, 0));
     assert_eq!(first, Deadline::at(at(100 + rule.read_ms)));
--- a/crates/mustardtiller-core/tests/reader_change.rs
+++ b/crates/mustardtiller-core/tests/reader_change.rs
@@ -7,18 +7,22 @@
 use mustardtiller_core::MemberState;
 use mustardtiller_core::Spread;
 use mustardtiller_core::SpreadEffect;
+use mustardtiller_core::SpreadEffects;
 use mustardtiller_core::SpreadEvent;
 use mustardtiller_core::SpreadRule;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::Version;
 
 const RULE: SpreadRule = SpreadRule {
+    watch_step_ms: 1_000,
+    max_watch_ms: 20_000,
     readers: 1,
     fanout: 3,
     gossip_ms: 1_000,
     idle_read_ms: 300_000,
     retry_ms: 400,
     max_retry_ms: 2_000,
+    alone_ms: 200,
     start_ms: 20,
     fetch_ms: 2_000,
     peers_ms: 60,
@@ -66,15 +70,19 @@
         let _ = spread.step(event, &hosts, at(100), &mut rng);
     }
     let before = spread.step(SpreadEvent::Tick, &hosts, at(10_000), &mut rng);
-    let read = SpreadEffect::ReadPlatform { watch: true };
-    assert!(
-        !before.contains(&read),
-        "the first host is still the reader"
-    );
+    let watches = |effects: &SpreadEffects| {
+        let is_watch = |effect: &SpreadEffect| {
+            matches!(
+                effect,
+                SpreadEffect::ReadPlatform {
+                    wait_until: Some(_)
+                }
+            )
+        };
+        effects.iter().any(is_watch)
+    };
+    assert!(!watches(&before), "the first host is still the reader");
     hosts = rest;
     let after = spread.step(SpreadEvent::Tick, &hosts, at(10_100), &mut rng);
-    assert!(
-        after.contains(&read),
-        "no read as the new reader: {after:?}"
-    );
+    assert!(watches(&after), "no read as the new reader: {after:?}");
 }
--- a/crates/mustardtiller-core/tests/spread_fleet.rs
+++ b/crates/mustardtiller-core/tests/spread_fleet.rs
@@ -6,6 +6,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use mustardtiller_core::Deadline;
 use mustardtiller_core::Digest;
 use mustardtiller_core::HostList;
 use mustardtiller_core::Instant;
@@ -27,9 +28,6 @@
 /// Duration of a fetch, which uses a connection of its own, in microseconds.
 const FETCH_MICROS: u64 = 30_000;
 
-/// Longest duration of a watch at the platform, in microseconds.
-const WATCH_MICROS: u64 = 20_000_000;
-
 /// Size of a datagram with its IP and UDP headers.
 const DATAGRAM_BYTES: u64 = 48;
 
@@ -43,7 +41,7 @@
     },
     Read {
         started: u64,
-        watch: bool,
+        wait_until: Option<Deadline>,
     },
     Fetched(Version),
     ReadRequested(u8),
@@ -129,6 +127,7 @@
         // A fleet of this size spreads its first reads over five seconds.
         let rule = SpreadRule {
             start_ms: 5_000,
+            alone_ms: 5_000,
             ..SpreadRule::default()
         };
         let member = &self.hosts.members[index];
@@ -190,12 +189,19 @@
             Arrival::Fetched(version) => SpreadEvent::Accepted(version),
             Arrival::ReadRequested(hops) => SpreadEvent::ReadRequested { hops },
             Arrival::Read { .. } if self.refused.contains(&index) => SpreadEvent::PlatformFailed,
-            Arrival::Read { started, watch } => {
-                // A watch ends with a change, or after its longest duration.
-                let ended = self.published_at > started || now >= started + WATCH_MICROS;
-                let ended = ended || !watch;
-                if !ended {
-                    self.push(now + 50_000, index, Arrival::Read { started, watch });
+            Arrival::Read {
+                started,
+                wait_until,
+            } => {
+                // A watch ends with a change, or when its wait is over.
+                let waits =
+                    wait_until.is_some_and(|until| !until.has_passed(Instant::from_micros(now)));
+                if waits && self.published_at <= started {
+                    let read = Arrival::Read {
+                        started,
+                        wait_until,
+                    };
+                    self.push(now + 50_000, index, read);
                     return;
                 }
                 SpreadEvent::PlatformHas(self.published)
@@ -234,14 +240,14 @@
                 let requested = Arrival::ReadRequested(hops);
                 self.push(now + DELAY_MICROS, index_of(peer), requested);
             }
-            SpreadEffect::ReadPlatform { watch } => {
+            SpreadEffect::ReadPlatform { wait_until } => {
                 self.reads.push(now);
                 self.push(
                     now + DELAY_MICROS,
                     index,
                     Arrival::Read {
                         started: now,
-                        watch,
+                        wait_until,
                     },
                 );
             }
--- a/crates/mustardtiller-soak/src/daemons.rs
+++ b/crates/mustardtiller-soak/src/daemons.rs
@@ -72,9 +72,9 @@
              link_listen = {listen}\ncaller = shop\nthreads = {threads}\nlog_level = info\n\
              request_lines_per_s = 200\nwithdraw_ms = 400\nstop_ms = 4000\n\
              [platform]\nkind = store\naddress = {store}\n\
-             [discovery]\nupstream = {upstream}\nservice = shop\nread_ms = 300\n\
+             [discovery]\nupstream = {upstream}\nservice = shop\nread_ms = 300\nlisten_ms = 500\nidle_listen_ms = 500\n\
              [probes]\nper_s = 54\n[limits]\nheld_body_bytes = 1000000\n\
-             [spread]\nreaders = 1\nstart_ms = 20\npeers_ms = 60\ngossip_ms = 500\n\
+             [spread]\nreaders = 1\nstart_ms = 300\nwatch_step_ms = 1000\npeers_ms = 60\ngossip_ms = 500\n\
              retry_ms = 200\nmax_retry_ms = 1000\n\
              [retries]\npercent = 20\nspare = {spare}\nwindow_ms = 10000\n",
             place = place_of(host),
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -44,6 +44,7 @@
         version,
         incarnation: 7,
         upstream: upstream.to_owned(),
+        link: ([127, 0, 0, 1], 9).into(),
     })
 }
 
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -1,5 +1,7 @@
 //! Frames of the link protocol and the messages in them.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,7 +13,7 @@
 use mustardtiller_core::Verdict;
 
 /// Version of the link protocol that this program implements.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// First frame from the peer that opened the link.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -23,6 +25,8 @@
     pub incarnation: u128,
     /// The upstream that the sender expects to reach.
     pub upstream: String,
+    /// The address at which the sender accepts links and gossip.
+    pub link: SocketAddr,
 }
 
 /// First frame from the gate, which accepts the link.
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -1,5 +1,6 @@
 //! The [`Board`] of one daemon.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use event_listener::Event;
@@ -27,6 +28,8 @@
     pub place: PlaceName,
     /// The incarnation of this process, new with every start.
     pub incarnation: Incarnation,
+    /// The address at which other daemons reach this one.
+    pub link: SocketAddr,
 }
 
 /// The blackboard of one daemon.
@@ -43,6 +46,10 @@
     /// Written by the hosts controller, or by the registry controller where
     /// upstreams register themselves.
     pub hosts: Snapshot<HostList>,
+    /// The daemon that last opened a link to this one while it knew no host.
+    ///
+    /// Written by links. Until this daemon holds a registry, it asks this one.
+    pub neighbour: Snapshot<Option<SocketAddr>>,
     /// The retry bounds, which a reload of the settings may replace.
     pub retries: Snapshot<RetryBounds>,
     /// The upstreams that have registered themselves. Written by the registry controller.
@@ -62,6 +69,10 @@
     ///
     /// The local controller then probes it again.
     pub recheck_local: Event,
+    /// Notified when a request comes while no host is known.
+    ///
+    /// The registry controller then waits less long for a peer's registry.
+    pub hosts_wanted: Event,
     /// Notified when an upstream's error rate is high. Awaited by the health controller.
     pub unhealthy: Event,
 }
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -159,7 +159,7 @@
                         .await;
                 }
                 SpreadEffect::DelegateRead { peer, hops } => self.gossip.delegate(peer, hops).await,
-                SpreadEffect::ReadPlatform { watch } => self.read_platform(watch),
+                SpreadEffect::ReadPlatform { wait_until } => self.read_platform(wait_until),
                 SpreadEffect::FetchFromPeer { peer, version } => self.fetch_peer(peer, version),
                 SpreadEffect::FetchFromPlatform { .. } => self.fetch_platform(),
             }
@@ -241,15 +241,16 @@
         }
     }
 
-    /// Start reading the manifest; with `watch`, the read waits for a change.
-    fn read_platform(&self, watch: bool) {
+    /// Start reading the manifest; with `wait_until`, the read waits for a change.
+    fn read_platform(&self, wait_until: Option<Deadline>) {
         let node = Arc::clone(&self.node);
         let platform = Arc::clone(&self.platform);
-        let tag = if watch { self.tag.clone() } else { None };
+        let tag = wait_until.and_then(|_| self.tag.clone());
+        let wait_until = wait_until.unwrap_or_else(|| Deadline::at(node.clock.now()));
         let input_tx = self.input_tx.clone();
         self.node.spawn(async move {
-            node.metrics.count(CounterId::PlatformReads);
-            let input = match platform.manifest(tag.as_deref()).await {
+            node.count_platform_calls(CounterId::ConfigReads, 1);
+            let input = match platform.manifest(tag.as_deref(), wait_until).await {
                 Ok(Some(value)) => Input::Manifest {
                     bytes: value.bytes,
                     tag: value.tag,
--- a/crates/mustardtiller/src/controllers/registry.rs
+++ b/crates/mustardtiller/src/controllers/registry.rs
@@ -48,9 +48,17 @@
 /// The registry of a peer is then requested, preferably of one in another place.
 const STALE_MS: u64 = 1_600;
 
+/// Age at which a daemon whose upstream is not registered requests it, in milliseconds.
+///
+/// The readers don't know such a daemon, so they send it no updates.
+const UNLISTED_STALE_MS: u64 = 700;
+
 /// Time between two requests for a peer's registry, in milliseconds.
 const REQUEST_INTERVAL_MS: u64 = 400;
 
+/// Time between two requests to neighbours while no registry is held, in milliseconds.
+const NEIGHBOUR_INTERVAL_MS: u64 = 50;
+
 /// Malformed entries that are remembered, so that each is logged only once.
 const MAX_REMEMBERED_MALFORMED: usize = 256;
 
@@ -65,6 +73,8 @@
         registry: Option<Registry>,
     },
     Gossip(SocketAddr, RegistryMessage),
+    Neighbour,
+    Wanted,
     Tick,
 }
 
@@ -81,6 +91,8 @@
     reading: bool,
     fetching: bool,
     next_request: Deadline,
+    /// When a neighbour may be asked again.
+    next_neighbour: Deadline,
     malformed: HashSet<String>,
     input_tx: Sender<Input>,
     rng: fastrand::Rng,
@@ -97,17 +109,19 @@
     };
     let (input_tx, input_rx) = unbounded();
     let now = node.clock.now();
-    let rng = node.rng();
+    let mut rng = node.rng();
+    let read_schedule = ReadSchedule::new(discovery.read_schedule, now, &mut rng);
     let controller = Controller {
         gossip,
         platform,
-        read_schedule: ReadSchedule::new(discovery.read_schedule, now),
+        read_schedule,
         held: Registry::default(),
         rank: Rank::default(),
         has_registry: false,
         reading: false,
         fetching: false,
         next_request: Deadline::at(now),
+        next_neighbour: Deadline::at(now),
         malformed: HashSet::new(),
         input_tx,
         rng,
@@ -132,10 +146,28 @@
                 let (peer, message) = gossip.recv_registry().await;
                 Input::Gossip(peer, message)
             };
+            let connected = self.node.board.neighbour.listen();
+            let wanted = self.node.board.hosts_wanted.listen();
+            let has_registry = self.has_registry;
+            let connected = async {
+                if has_registry {
+                    future::pending::<()>().await;
+                }
+                connected.await;
+                Input::Neighbour
+            };
+            let wanted = async {
+                if has_registry {
+                    future::pending::<()>().await;
+                }
+                wanted.await;
+                Input::Wanted
+            };
             let ticked = async {
                 clock.sleep_until(next_tick).await;
                 Input::Tick
             };
+            let gossiped = future::or(gossiped, future::or(connected, wanted));
             match future::or(task_done, future::or(gossiped, ticked)).await {
                 Input::Tick => self.tick().await,
                 Input::Read {
@@ -144,6 +176,8 @@
                 } => self.handle_read(began, registrations).await,
                 Input::Fetched { peer, registry } => self.handle_fetched(peer, registry).await,
                 Input::Gossip(peer, message) => self.handle_message(peer, message).await,
+                Input::Neighbour => self.ask_neighbour().await,
+                Input::Wanted => self.read_schedule.record_demand(clock.now()),
             }
         }
     }
@@ -155,7 +189,7 @@
 
     fn next_tick(&self) -> Deadline {
         let request_at = self.read_at().map_or(self.next_request, |read_at| {
-            Deadline::in_millis(read_at, STALE_MS).max(self.next_request)
+            Deadline::in_millis(read_at, self.stale_ms()).max(self.next_request)
         });
         if self.reading {
             return request_at;
@@ -173,7 +207,7 @@
         }
         let stale = self
             .read_at()
-            .is_none_or(|at| now.micros_since(at) >= STALE_MS * 1_000);
+            .is_none_or(|at| now.micros_since(at) >= self.stale_ms() * 1_000);
         if stale && self.next_request.has_passed(now) {
             self.next_request = Deadline::in_millis(now, REQUEST_INTERVAL_MS);
             if let Some(peer) = self.random_peer() {
@@ -182,6 +216,35 @@
         }
     }
 
+    /// Return the age at which the registry held is stale, in milliseconds.
+    const fn stale_ms(&self) -> u64 {
+        if self.rank.is_listed() {
+            STALE_MS
+        } else {
+            UNLISTED_STALE_MS
+        }
+    }
+
+    /// Ask the daemon that last opened a link to this one, while no registry is held.
+    async fn ask_neighbour(&mut self) {
+        let now = self.node.clock.now();
+        if self.has_registry || self.fetching || !self.next_neighbour.has_passed(now) {
+            return;
+        }
+        self.next_neighbour = Deadline::in_millis(now, NEIGHBOUR_INTERVAL_MS);
+        let neighbour = *self.node.board.neighbour.share();
+        if let Some(neighbour) = neighbour {
+            self.gossip.request_registry(neighbour).await;
+        }
+    }
+
+    /// Report whether the upstream beside this daemon is registered.
+    fn is_listed(&self) -> bool {
+        let own = self.node.settings.link;
+        let mut entries = self.held.entries();
+        entries.any(|entry| link_of(&self.node, entry.address) == own)
+    }
+
     /// Compute this daemon's rank in the order of readers.
     fn compute_rank(&self) -> Rank {
         let here = &self.node.board.identity.place;
@@ -195,9 +258,13 @@
         let before = places
             .iter()
             .filter(|place| rank_hash(place) < rank_hash(here));
+        let place = before.count();
+        if !self.is_listed() {
+            return Rank::unlisted(place);
+        }
         Rank {
             within_place,
-            place: before.count(),
+            place,
         }
     }
 
@@ -220,10 +287,16 @@
         let platform = Arc::clone(&self.platform);
         let input_tx = self.input_tx.clone();
         self.node.spawn(async move {
-            node.metrics.count(CounterId::PlatformReads);
             let deadline = Deadline::in_millis(began, READ_TIMEOUT_MS);
             let read = node.clock.within(deadline, platform.registrations());
-            let registrations = match read.await {
+            let read = read.await;
+            let calls = match &read {
+                Some(Ok(registrations)) => registrations.calls.into(),
+                // The call that failed; how many came before it is not known.
+                Some(Err(_)) | None => 1,
+            };
+            node.count_platform_calls(CounterId::RegistryReads, calls);
+            let registrations = match read {
                 Some(Ok(registrations)) => Some(registrations),
                 Some(Err(e)) => {
                     Event::RegistryFailed.log(e);
@@ -262,8 +335,15 @@
                 self.malformed.insert(entry);
             }
         }
+        if self.has_registry
+            && self.held.read_at > began
+            && self.held.revision > registrations.revision
+        {
+            // A peer's later read came first.
+            return;
+        }
         let keep_missing = self.read_schedule.keeps_missing(self.read_at(), began);
-        let mut registry = Registry::new(registrations.entries, began);
+        let mut registry = Registry::new(registrations.entries, registrations.revision, began);
         if keep_missing {
             registry = registry.with_missing_from(&self.held);
         }
@@ -277,7 +357,7 @@
 
     async fn handle_fetched(&mut self, peer: SocketAddr, registry: Option<Registry>) {
         self.fetching = false;
-        if let Some(registry) = registry.filter(|r| self.is_newer(r.read_at)) {
+        if let Some(registry) = registry.filter(|r| self.is_newer(r.revision, r.read_at)) {
             let base_digest = self.held.digest();
             let delta = registry.delta_from(&self.held);
             self.install(registry, &delta);
@@ -315,18 +395,19 @@
     async fn handle_update(&mut self, peer: SocketAddr, update: &RegistryUpdate) {
         let now = self.node.clock.now();
         let read_at = now.minus_micros(u64::from(update.age_ms) * 1_000);
-        if !self.is_newer(read_at) {
+        if !self.is_newer(update.revision, read_at) {
             return;
         }
         let held = self.held.digest();
         if self.has_registry && held == update.digest {
+            self.held.revision = update.revision;
             self.held.read_at = read_at;
             self.forward(peer, held, &RegistryDelta::default()).await;
             return;
         }
         let delta = delta_of(update);
         if self.has_registry && held == update.base_digest {
-            let registry = self.held.with_delta(&delta, read_at);
+            let registry = self.held.with_delta(&delta, update.revision, read_at);
             if registry.digest() == update.digest {
                 self.install(registry, &delta);
                 self.forward(peer, held, &delta).await;
@@ -351,14 +432,18 @@
                 node.metrics.count(CounterId::PeerFetchesFailed);
             }
             let registry = snapshot.map(|snapshot| {
-                Registry::new(snapshot.entries.iter().map(Registration::from), read_at)
+                let entries = snapshot.entries.iter().map(Registration::from);
+                Registry::new(entries, snapshot.revision, read_at)
             });
             let _ = input_tx.try_send(Input::Fetched { peer, registry });
         });
     }
 
-    fn is_newer(&self, read_at: Instant) -> bool {
-        self.read_at().is_none_or(|held| read_at > held)
+    /// Report whether a peer's registry is newer than the one held.
+    ///
+    /// A message that was delayed gives too late a time, so the revision decides first.
+    fn is_newer(&self, revision: u64, read_at: Instant) -> bool {
+        !self.has_registry || self.held.is_older_than(revision, read_at)
     }
 
     /// Replace the registry held by a newer one, and publish it if it changed.
@@ -429,6 +514,7 @@
         let age = self.node.clock.now().micros_since(self.held.read_at) / 1_000;
         RegistryUpdate {
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            revision: self.held.revision,
             base_digest,
             digest: self.held.digest(),
             changed: delta
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -23,6 +23,7 @@
 use crate::gate::LoadProbeHandle;
 use crate::http::Dialect;
 use crate::link::maintain_link;
+use crate::metrics::CounterId;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::upstream::UpstreamPool;
@@ -217,6 +218,17 @@
         }
     }
 
+    /// Count calls to the platform in total and by what they read.
+    pub fn count_platform_calls(&self, what: CounterId, calls: u64) {
+        self.metrics.add(CounterId::PlatformReads, calls);
+        self.metrics.add(what, calls);
+        let starting = self.board.configuration.read().is_none()
+            || (self.settings.discovery.is_some() && self.board.hosts.read().members.is_empty());
+        if starting {
+            self.metrics.add(CounterId::StartReads, calls);
+        }
+    }
+
     /// Report whether to connect to a service before its first request.
     #[must_use]
     pub fn preconnects(&self, service: &str) -> bool {
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -162,6 +162,7 @@
         upstream: settings.upstream.clone(),
         place: settings.place.clone(),
         incarnation: Incarnation(random),
+        link: settings.link,
     };
     let now = clock.now();
     let warm_at = now.plus_micros(settings.ramp_ms * 1_000);
@@ -171,12 +172,14 @@
         configuration: Snapshot::new(None),
         artefact: Snapshot::new(None),
         hosts: Snapshot::new(HostList::default()),
+        neighbour: Snapshot::new(None),
         registry: Snapshot::new(Registry::default()),
         own_upstream: Snapshot::new(None),
         recheck_local: Signal::new(),
         routes: Snapshot::new(Routes::default()),
         gate: GateState::new(now, warm_at),
         phase: PhaseCell::new(),
+        hosts_wanted: Signal::new(),
         unhealthy: Signal::new(),
     };
     Node::new(NodeParts {
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -106,6 +106,9 @@
 }
 
 fn find_route(node: &Node, call: &mut Call) -> Result<RouteMatch, NotRunReason> {
+    if node.board.hosts.read().members.is_empty() {
+        node.board.hosts_wanted.notify(1);
+    }
     if node.board.configuration.read().is_none() {
         return Err(NotRunReason::NoConfiguration);
     }
--- a/crates/mustardtiller/src/link/handshake.rs
+++ b/crates/mustardtiller/src/link/handshake.rs
@@ -1,5 +1,7 @@
 //! The handshake of a link.
 
+use std::sync::Arc;
+
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use snafu::Snafu;
@@ -67,6 +69,7 @@
         version: PROTOCOL_VERSION,
         incarnation: board.identity.incarnation.0,
         upstream: upstream.to_owned(),
+        link: board.identity.link,
     });
     let sent = clock.now();
     write_frame(&socket, &hello).await?;
@@ -97,6 +100,7 @@
 ///
 /// Returns the load report that the welcome carried. The welcome is sent before
 /// the hello is checked, so a rejected peer learns this side's version and upstream.
+/// Until this daemon knows a host, the peer is published as its neighbour.
 pub async fn accept(
     board: &Board,
     clock: Clock,
@@ -127,6 +131,9 @@
             upstream: hello.upstream,
         });
     }
+    if board.hosts.read().members.is_empty() {
+        board.neighbour.publish(Arc::new(Some(hello.link)));
+    }
     Ok((reader, load))
 }
 
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -384,6 +384,7 @@
     fn encode_registry(&self) -> Bytes {
         let registry = self.node.board.registry.read();
         let snapshot = RegistrySnapshot {
+            revision: registry.revision,
             entries: registry
                 .entries()
                 .map(|entry| entry.as_ref().into())
--- a/crates/mustardtiller/src/published/http.rs
+++ b/crates/mustardtiller/src/published/http.rs
@@ -26,9 +26,6 @@
 /// Timeout of one HTTP request, in milliseconds; a long poll adds its own time.
 const CALL_TIMEOUT_MS: u64 = 3_000;
 
-/// Time that a long poll waits for a change, in milliseconds.
-const WATCH_MS: u64 = 20_000;
-
 /// Reads the platform over HTTP, with a new connection for each request.
 ///
 /// `GET /config/manifest` and `GET /config/parts/DIGEST` give values with an
@@ -100,13 +97,18 @@
 }
 
 impl PublishedSource for HttpPublishedSource {
-    fn manifest(&self, held: Option<&str>) -> ReadFuture<'_, Option<PublishedValue>> {
+    fn manifest(
+        &self,
+        held: Option<&str>,
+        wait_until: Deadline,
+    ) -> ReadFuture<'_, Option<PublishedValue>> {
         let held = held.map(str::to_owned);
         Box::pin(async move {
             match held {
                 Some(tag) => {
-                    let path = format!("/config/manifest?wait_ms={WATCH_MS}");
-                    self.get(&path, Some(&tag), WATCH_MS).await
+                    let wait_ms = wait_until.remaining(self.clock.now()).as_millis() as u64;
+                    let path = format!("/config/manifest?wait_ms={wait_ms}");
+                    self.get(&path, Some(&tag), wait_ms).await
                 }
                 None => self.get("/config/manifest", None, 0).await,
             }
--- a/crates/mustardtiller/src/published/source.rs
+++ b/crates/mustardtiller/src/published/source.rs
@@ -5,6 +5,7 @@
 
 use snafu::Snafu;
 
+use mustardtiller_core::Deadline;
 use mustardtiller_core::Digest;
 use mustardtiller_core::Registration;
 
@@ -56,6 +57,10 @@
 /// The upstreams that are registered.
 #[derive(Clone, Debug, Default)]
 pub struct Registrations {
+    /// Revision of the platform at which they were read; rises with each change.
+    pub revision: u64,
+    /// Calls to the platform that the read took.
+    pub calls: u32,
     /// The valid entries.
     pub entries: Vec<Registration>,
     /// The malformed entries, each with its name and what is wrong.
@@ -71,8 +76,13 @@
 pub trait PublishedSource: Send + Sync + fmt::Debug {
     /// Read the manifest.
     ///
-    /// With the tag of the value held, wait for a change; `None` if none came in time.
-    fn manifest(&self, held: Option<&str>) -> ReadFuture<'_, Option<PublishedValue>>;
+    /// With the tag of the value held, wait for a change until `wait_until`; `None` if
+    /// none came in time.
+    fn manifest(
+        &self,
+        held: Option<&str>,
+        wait_until: Deadline,
+    ) -> ReadFuture<'_, Option<PublishedValue>>;
 
     /// Read the part with the given digest.
     fn part(&self, digest: Digest) -> ReadFuture<'_, Vec<u8>>;
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -294,10 +294,13 @@
         readers: fields.number_or("readers", default.readers as u64, 1..=100) as usize,
         fanout: fields.number_or("fanout", default.fanout as u64, 1..=20) as usize,
         gossip_ms: fields.number_or("gossip_ms", default.gossip_ms, 20..=MAX_MILLIS),
+        watch_step_ms: fields.number_or("watch_step_ms", default.watch_step_ms, 20..=MAX_MILLIS),
+        max_watch_ms: default.max_watch_ms,
         idle_read_ms: fields.number_or("idle_read_ms", default.idle_read_ms, 20..=MAX_MILLIS),
         retry_ms: fields.number_or("retry_ms", default.retry_ms, 10..=MAX_MILLIS),
         max_retry_ms: fields.number_or("max_retry_ms", default.max_retry_ms, 10..=MAX_MILLIS),
         start_ms: fields.number_or("start_ms", default.start_ms, 0..=MAX_MILLIS),
+        alone_ms: fields.number_or("alone_ms", default.alone_ms, 0..=MAX_MILLIS),
         fetch_ms: fields.number_or("fetch_ms", default.fetch_ms, 10..=MAX_MILLIS),
         peers_ms: fields.number_or("peers_ms", default.peers_ms, 0..=MAX_MILLIS),
     };
@@ -328,6 +331,8 @@
     let upstream = fields.address("upstream");
     let service = fields.name("service", "service");
     let read_schedule = ReadScheduleRule {
+        listen_ms: fields.number_or("listen_ms", default.listen_ms, 0..=MAX_MILLIS),
+        idle_listen_ms: fields.number_or("idle_listen_ms", default.idle_listen_ms, 0..=MAX_MILLIS),
         read_ms: fields.number_or("read_ms", default.read_ms, 20..=MAX_MILLIS),
         step_ms: fields.number_or("step_ms", default.step_ms, 10..=MAX_MILLIS),
         retry_ms: fields.number_or("retry_ms", default.retry_ms, 10..=MAX_MILLIS),
