fix(upstream): use a connection again only if answers can be told apart

Cause: on the product's own interface, an answer counted as genuine because it came on the request's connection. An upstream that sent a second copy of an answer late, on a connection that was in use again, answered the next caller with it (`late_copies` got "answer to /read22" for /read24).

Change: each exchange carries a number (`mustardtiller-exchange`); a connection is used again only if the answer repeated it, and an answer on such a connection must repeat its own. Upstreams that don't repeat it get a new connection for each request. On the users' platform the identity of the request does the same; a request without one gets no used connection.

Tests: `late_copies` on both interfaces; `endless_answers` (heads, bodies and bytes without end from upstreams, health paths and the store) and `cut_answers` (each framing, at every third byte) passed unchanged, so these can't happen there.

--- a/crates/mustardtiller-standin/src/upstream/server.rs
+++ b/crates/mustardtiller-standin/src/upstream/server.rs
@@ -52,6 +52,9 @@
 /// Interval between checks whether the upstream is still frozen, in milliseconds.
 const FROZEN_POLL_MS: u64 = 5;
 
+/// Header that numbers requests; an answer that repeats it keeps its connection.
+const EXCHANGE_HEADER: &str = "mustardtiller-exchange";
+
 /// Largest chunk of an answer's body, in bytes.
 const CHUNK_BYTES: usize = 64 * 1024;
 
@@ -183,7 +186,21 @@
     }
 }
 
+/// Answer a request, and repeat its exchange header.
 async fn answer(shared: &Shared, req: Request<Incoming>, cut: &Sender<()>) -> Response<AnswerBody> {
+    let exchange = req.headers().get(EXCHANGE_HEADER).cloned();
+    let mut response = answer_unmarked(shared, req, cut).await;
+    if let Some(exchange) = exchange {
+        response.headers_mut().insert(EXCHANGE_HEADER, exchange);
+    }
+    response
+}
+
+async fn answer_unmarked(
+    shared: &Shared,
+    req: Request<Incoming>,
+    cut: &Sender<()>,
+) -> Response<AnswerBody> {
     if req.uri().path() == "/load" {
         while shared.plan.is_frozen() {
             Timer::after(Duration::from_millis(FROZEN_POLL_MS)).await;
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -81,6 +81,7 @@
     executor: Arc<Executor<'static>>,
     seed: AtomicU64,
     sequence: AtomicU64,
+    exchanges: AtomicU64,
 }
 
 impl Node {
@@ -103,6 +104,7 @@
             executor: parts.executor,
             seed: AtomicU64::new(parts.seed),
             sequence: AtomicU64::new(0),
+            exchanges: AtomicU64::new(0),
         }
     }
 
@@ -127,6 +129,11 @@
         self.sequence.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Return the number of the next exchange with the upstream.
+    pub fn next_exchange(&self) -> u64 {
+        self.exchanges.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Return the upstream beside this daemon, if it is known.
     #[must_use]
     pub fn own_upstream(&self) -> Option<Arc<Upstream>> {
--- a/crates/mustardtiller/src/http/dialect.rs
+++ b/crates/mustardtiller/src/http/dialect.rs
@@ -12,8 +12,15 @@
 /// Evidence that an answer belongs to the request that was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Proof {
-    /// Arrival on the request's connection suffices.
-    Connection,
+    /// Arrival on the request's connection suffices if the connection is new.
+    ///
+    /// On one that was used before, a late copy of an earlier answer may arrive, so
+    /// the answer must repeat the exchange header. Only an upstream that repeats it
+    /// is sent further requests on the same connection.
+    Connection {
+        /// Name of the exchange header, which numbers requests to the upstream.
+        exchange: &'static str,
+    },
     /// The answer repeats the request's identity; unless it refuses, it also has a stamp.
     Stamp {
         /// Name of the stamp header.
@@ -91,7 +98,9 @@
             upstream: "mustardtiller-upstream",
             not_run: "mustardtiller-not-run",
             load: "mustardtiller-load",
-            proof: Proof::Connection,
+            proof: Proof::Connection {
+                exchange: "mustardtiller-exchange",
+            },
             read_load: |_| None,
             forwards_depth: true,
             fractional_retry_after: false,
--- a/crates/mustardtiller/src/upstream/body.rs
+++ b/crates/mustardtiller/src/upstream/body.rs
@@ -103,7 +103,10 @@
 pub struct UpstreamBody {
     pub(super) node: Arc<Node>,
     pub(super) incoming: Incoming,
+    /// Sender of the connection; `None` once it was returned to the pool.
     pub(super) sender: Option<SendRequest<RequestBody>>,
+    /// Whether the connection may carry another request after this answer.
+    pub(super) reusable: bool,
     pub(super) deadline: Deadline,
     pub(super) started_at: Instant,
     pub(super) kind_digest: u32,
@@ -148,7 +151,8 @@
             self.node.metrics.record_upstream_time(micros);
             gate.record_service_time(self.kind_digest, micros, self.start);
         }
-        if let Some(sender) = self.sender.take() {
+        let sender = self.sender.take();
+        if let Some(sender) = sender.filter(|_| self.reusable) {
             put_back(&self.node, sender);
         }
     }
--- a/crates/mustardtiller/src/upstream/check.rs
+++ b/crates/mustardtiller/src/upstream/check.rs
@@ -28,19 +28,64 @@
     Unverified,
 }
 
-/// Check the head of an answer.
+/// What identifies one exchange with the upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct ExchangeIdentity<'a> {
+    /// Identity that the request carried, if any.
+    pub request_id: Option<&'a [u8]>,
+    /// Number of the exchange, unique in this process.
+    pub number: u64,
+    /// Whether the connection carried an earlier exchange.
+    pub reused: bool,
+}
+
+/// Report whether an answer repeats the identity of its request.
 ///
-/// `request_id` is the identity that the request carried, if any.
+/// Only then can a late copy of it be told from the next answer, so that its
+/// connection may be used again.
+#[must_use]
+pub fn repeats_identity(
+    dialect: &Dialect,
+    identity: ExchangeIdentity<'_>,
+    headers: &HeaderMap,
+) -> bool {
+    match dialect.proof {
+        Proof::Connection { exchange } => {
+            exchange_number(headers, exchange) == Some(identity.number)
+        }
+        Proof::Stamp { .. } => {
+            let echoed = headers.get(dialect.request_id).map(HeaderValue::as_bytes);
+            echoed.is_some() && echoed == identity.request_id
+        }
+    }
+}
+
+fn exchange_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Check the head of an answer.
 #[must_use]
 pub fn check_answer(
     dialect: &Dialect,
-    request_id: Option<&[u8]>,
+    identity: ExchangeIdentity<'_>,
     status: u16,
     headers: &HeaderMap,
 ) -> AnswerCheck {
-    let Proof::Stamp { stamp } = dialect.proof else {
-        return AnswerCheck::Genuine;
+    let stamp = match dialect.proof {
+        Proof::Connection { exchange } => {
+            let foreign = headers.contains_key(exchange)
+                && exchange_number(headers, exchange) != Some(identity.number);
+            let unproved = identity.reused && !headers.contains_key(exchange);
+            return if foreign || unproved {
+                AnswerCheck::Unverified
+            } else {
+                AnswerCheck::Genuine
+            };
+        }
+        Proof::Stamp { stamp } => stamp,
     };
+    let request_id = identity.request_id;
     let echoed = headers.get(dialect.request_id).map(HeaderValue::as_bytes);
     if echoed.is_some() && echoed != request_id {
         return AnswerCheck::Unverified;
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -20,7 +20,9 @@
 use super::body::RequestBody;
 use super::body::UpstreamBody;
 use super::check::AnswerCheck;
+use super::check::ExchangeIdentity;
 use super::check::check_answer;
+use super::check::repeats_identity;
 use super::headers::DEPTH_HEADER;
 use super::headers::RETRIED_HEADER;
 use super::headers::STATE_HEADER;
@@ -32,6 +34,7 @@
 use crate::gate::GateRequest;
 use crate::gate::Permit;
 use crate::http::DeadlineForm;
+use crate::http::Proof;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
@@ -73,11 +76,13 @@
     let head_only = req.method == "HEAD";
     let request_id = req.header(node.dialect.request_id).cloned();
     let body_cut = Arc::new(AtomicBool::new(false));
+    let number = node.next_exchange();
     let SendOutcome {
         sent,
         earlier_unknown,
+        reused,
         response,
-    } = match send(node, unsent, req, &body_cut).await {
+    } = match send(node, unsent, req, number, &body_cut).await {
         Ok(outcome) => outcome,
         Err(refusal) => return GateAnswer::refused(refusal),
     };
@@ -99,8 +104,13 @@
     if SHED_STATUSES.contains(&head.status) {
         node.board.gate.record_completion(0, true);
     }
-    let id = request_id.as_deref();
-    let check = check_answer(&node.dialect, id, head.status, response.headers());
+    let identity = ExchangeIdentity {
+        request_id: request_id.as_deref(),
+        number,
+        reused,
+    };
+    let check = check_answer(&node.dialect, identity, head.status, response.headers());
+    let reusable = repeats_identity(&node.dialect, identity, response.headers());
     let verdict = match check {
         AnswerCheck::Genuine => None,
         AnswerCheck::Refused => Some(Verdict::NotRun(NotRunReason::UpstreamShed)),
@@ -119,6 +129,7 @@
         node: Arc::clone(node),
         incoming: response.into_body(),
         sender: Some(sender),
+        reusable,
         deadline,
         started_at,
         kind_digest,
@@ -145,14 +156,17 @@
     sent: Sent,
     /// Why an earlier transmission may have run, if the request was sent twice.
     earlier_unknown: Option<UnknownReason>,
+    /// Whether the connection carried an earlier exchange.
+    reused: bool,
     response: SentResponse,
 }
 
 impl SendOutcome {
-    const fn without_resend(sent: Sent, response: SentResponse) -> Self {
+    const fn without_resend(sent: Sent, reused: bool, response: SentResponse) -> Self {
         Self {
             sent,
             earlier_unknown: None,
+            reused,
             response,
         }
     }
@@ -170,6 +184,7 @@
     node: &Arc<Node>,
     mut unsent: Unsent,
     req: GateRequest,
+    number: u64,
     body_cut: &Arc<AtomicBool>,
 ) -> Result<SendOutcome, Refusal> {
     let deadline = req.deadline;
@@ -179,7 +194,7 @@
     let mut pooled = req.token.is_none() && req.idempotent;
     let mut copy = if pooled { req.try_clone() } else { None };
     let expected = upstream.name.as_str();
-    let mut http = match http_request(node, req, expected, body_cut) {
+    let mut http = match http_request(node, req, expected, number, body_cut) {
         Ok(http) => http,
         Err(reason) => return Err(unsent.refuse(reason).into()),
     };
@@ -210,12 +225,10 @@
             .within(deadline, sender.try_send_request(http))
             .await;
         match answer {
-            None => return Ok(SendOutcome::without_resend(sent, None)),
+            None => return Ok(SendOutcome::without_resend(sent, pooled, None)),
             Some(Ok(response)) => {
-                return Ok(SendOutcome::without_resend(
-                    sent,
-                    Some((sender, Ok(response))),
-                ));
+                let response = Some((sender, Ok(response)));
+                return Ok(SendOutcome::without_resend(sent, pooled, response));
             }
             Some(Err(mut e)) => match (e.take_message(), copy.take()) {
                 // Hyper returns the request only if none of its bytes were sent.
@@ -229,13 +242,18 @@
                     copy = unused_copy;
                 }
                 (None, Some(copy)) if pooled && !stale_until.has_passed(node.clock.now()) => {
-                    let Ok(second) = http_request(node, copy, expected, body_cut) else {
-                        return Ok(SendOutcome::without_resend(sent, Some((sender, Err(())))));
+                    let second = http_request(node, copy, expected, number, body_cut);
+                    let Ok(second) = second else {
+                        let failed = Some((sender, Err(())));
+                        return Ok(SendOutcome::without_resend(sent, pooled, failed));
                     };
                     http = second;
                     return resend(node, sent, http, upstream.address, deadline).await;
                 }
-                (None, _) => return Ok(SendOutcome::without_resend(sent, Some((sender, Err(()))))),
+                (None, _) => {
+                    let failed = Some((sender, Err(())));
+                    return Ok(SendOutcome::without_resend(sent, pooled, failed));
+                }
             },
         }
     }
@@ -257,6 +275,7 @@
     Ok(SendOutcome {
         sent,
         earlier_unknown: Some(UnknownReason::AnswerCut),
+        reused: false,
         response: answer.map(|answer| (sender, answer.map_err(|_| ()))),
     })
 }
@@ -292,6 +311,7 @@
     node: &Node,
     req: GateRequest,
     expected: &str,
+    number: u64,
     body_cut: &Arc<AtomicBool>,
 ) -> Result<Request<RequestBody>, NotRunReason> {
     let dialect = &node.dialect;
@@ -311,6 +331,9 @@
         .header(dialect.deadline, deadline_ms)
         .header(dialect.caller, req.caller.as_str())
         .header(dialect.expect_upstream, expected);
+    if let Proof::Connection { exchange } = dialect.proof {
+        builder = builder.header(exchange, number);
+    }
     if dialect.forwards_depth {
         builder = builder.header(DEPTH_HEADER, u64::from(req.depth) + 1);
         if req.retried {
