fix(stop,entry): answer requests that cross a stop; contain panics; join hedges

Changes: the entry listens until it closes, refuses new work on connections made while it drains, waits 200 ms for a request on connections that have none yet, and answers what the kernel has accepted before it closes. Tasks contain their panics, which are counted and logged (E901); a controller that panics stops the daemon gracefully (E902); a panic in a read of the platform is a failed read. A frame that can't be encoded ends its link. The first answer of two attempts counts, and a failure remembers both.

--- a/crates/mustardtiller/src/board/phase.rs
+++ b/crates/mustardtiller/src/board/phase.rs
@@ -13,8 +13,10 @@
     Serving,
     /// Announces that it is leaving, and still accepts requests from callers.
     Withdrawn,
-    /// Accepts no new request and completes those in flight.
+    /// Refuses new requests and completes those in flight.
     Draining,
+    /// Has closed its entry, and writes its last answers.
+    Closing,
     /// Has nothing in flight, or has reached the stop deadline.
     Stopped,
 }
@@ -46,6 +48,7 @@
             0 => Phase::Serving,
             1 => Phase::Withdrawn,
             2 => Phase::Draining,
+            3 => Phase::Closing,
             _ => Phase::Stopped,
         }
     }
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 
 use crate::daemon::Node;
+use crate::daemon::contained;
 use crate::events::Event;
 use crate::gossip::ConfigMessage;
 use crate::gossip::GossipSocket;
@@ -250,7 +251,9 @@
         let input_tx = self.input_tx.clone();
         self.node.spawn(async move {
             node.count_platform_calls(CounterId::ConfigReads, 1);
-            let input = match platform.manifest(tag.as_deref(), wait_until).await {
+            let read = contained(platform.manifest(tag.as_deref(), wait_until)).await;
+            let read = read.unwrap_or_else(|cause| Err(PublishedError::Call { cause }));
+            let input = match read {
                 Ok(Some(value)) => Input::Manifest {
                     bytes: value.bytes,
                     tag: value.tag,
--- a/crates/mustardtiller/src/controllers/registry.rs
+++ b/crates/mustardtiller/src/controllers/registry.rs
@@ -15,11 +15,13 @@
 
 use super::routes::link_of;
 use crate::daemon::Node;
+use crate::daemon::contained;
 use crate::events::Event;
 use crate::gossip::GossipSocket;
 use crate::gossip::RegistryMessage;
 use crate::link::fetch_registry;
 use crate::metrics::CounterId;
+use crate::published::PublishedError;
 use crate::published::PublishedSource;
 use crate::published::Registrations;
 use mustardtiller_core::Deadline;
@@ -288,8 +290,10 @@
         let input_tx = self.input_tx.clone();
         self.node.spawn(async move {
             let deadline = Deadline::in_millis(began, READ_TIMEOUT_MS);
-            let read = node.clock.within(deadline, platform.registrations());
-            let read = read.await;
+            let read = contained(platform.registrations());
+            let read = node.clock.within(deadline, read).await;
+            let read =
+                read.map(|read| read.unwrap_or_else(|cause| Err(PublishedError::Call { cause })));
             let calls = match &read {
                 Some(Ok(registrations)) => registrations.calls.into(),
                 // The call that failed; how many came before it is not known.
@@ -427,7 +431,8 @@
         self.node.spawn(async move {
             node.metrics.count(CounterId::PeerFetches);
             let deadline = Deadline::in_millis(node.clock.now(), FETCH_TIMEOUT_MS);
-            let snapshot = fetch_registry(&node, peer, deadline).await;
+            let fetched = contained(fetch_registry(&node, peer, deadline)).await;
+            let snapshot = fetched.ok().flatten();
             if snapshot.is_none() {
                 node.metrics.count(CounterId::PeerFetchesFailed);
             }
--- a/crates/mustardtiller/src/controllers/stop.rs
+++ b/crates/mustardtiller/src/controllers/stop.rs
@@ -13,12 +13,15 @@
 /// Time for the last frames on links to be sent and read, in milliseconds.
 const LINGER_MS: u64 = 200;
 
+/// Time for the answers on the last connections to be written, in milliseconds.
+const LAST_ANSWERS_MS: u64 = 40;
+
 /// Stop the daemon in steps once it is asked to stop.
 ///
 /// First the daemon announces that it is leaving and goes on serving, so that
 /// callers and other daemons move to other hosts. Then it refuses new requests
-/// and finishes those in flight. At the deadline it stops and logs how many are
-/// still in flight.
+/// and finishes those in flight, until none has been for a while. At the deadline
+/// it stops and logs how many are still in flight.
 pub async fn control_stop(node: Arc<Node>) {
     node.board.phase.reached(Phase::Withdrawn).await;
     Event::StopRequested.log(format_args!("{} in flight", in_flight(&node)));
@@ -26,14 +29,27 @@
     node.board.phase.advance(Phase::Draining);
     node.admission.wake();
     let deadline = Deadline::in_millis(node.clock.now(), node.settings.stop_ms);
-    while in_flight(&node) > 0 {
-        if deadline.has_passed(node.clock.now()) {
-            Event::StopTimedOut.log(format_args!("{} in flight", in_flight(&node)));
+    // A request may begin between two checks, and the last frames need time.
+    let mut quiet_since = node.clock.now();
+    loop {
+        let now = node.clock.now();
+        if in_flight(&node) > 0 {
+            quiet_since = now;
+        } else if now.micros_since(quiet_since) >= LINGER_MS * 1_000 {
+            break;
+        }
+        if deadline.has_passed(now) {
+            let left = in_flight(&node);
+            if left > 0 {
+                Event::StopTimedOut.log(format_args!("{left} in flight"));
+                node.clock.sleep_millis(LINGER_MS).await;
+            }
             break;
         }
         node.clock.sleep_millis(POLL_MS).await;
     }
-    node.clock.sleep_millis(LINGER_MS).await;
+    node.board.phase.advance(Phase::Closing);
+    node.clock.sleep_millis(LAST_ANSWERS_MS).await;
     node.board.phase.advance(Phase::Stopped);
 }
 
--- a/crates/mustardtiller/src/daemon/mod.rs
+++ b/crates/mustardtiller/src/daemon/mod.rs
@@ -1,8 +1,10 @@
 //! Assembles and runs a daemon.
 
+mod contain;
 mod node;
 mod run;
 
+pub use contain::contained;
 pub use node::Node;
 pub use node::NodeParts;
 pub use run::Daemon;
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -17,6 +17,7 @@
 use crate::board::Phase;
 use crate::board::ServiceRoutes;
 use crate::clock::Clock;
+use crate::daemon::contain::contained;
 use crate::events::Event;
 use crate::gate::AdmissionHandle;
 use crate::gate::LedgerHandle;
@@ -109,13 +110,43 @@
     }
 
     /// Run a task to its end in the background.
+    ///
+    /// If it panics, only the task ends; the panic is counted and logged.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.executor.spawn(task).detach();
+        self.spawn_task(task).detach();
     }
 
     /// Run a task that is cancelled when its handle is dropped.
+    ///
+    /// A panic is handled as by [`Node::spawn`].
     pub fn spawn_task(&self, task: impl Future<Output = ()> + Send + 'static) -> Task<()> {
-        self.executor.spawn(task)
+        let metrics = Arc::clone(&self.metrics);
+        self.executor.spawn(async move {
+            if let Err(cause) = contained(task).await {
+                metrics.count(CounterId::TasksPanicked);
+                Event::TaskPanicked.log(cause);
+            }
+        })
+    }
+
+    /// Run a controller in the background.
+    ///
+    /// The daemon can't go on without one: if it panics, the daemon finishes what is
+    /// in flight and exits, to be started again.
+    pub fn spawn_controller(
+        self: &Arc<Self>,
+        name: &'static str,
+        controller: impl Future<Output = ()> + Send + 'static,
+    ) {
+        let node = Arc::clone(self);
+        let running = async move {
+            if let Err(cause) = contained(controller).await {
+                node.metrics.count(CounterId::TasksPanicked);
+                Event::ControllerPanicked.log(format_args!("{name}: {cause}"));
+                node.board.phase.advance(Phase::Withdrawn);
+            }
+        };
+        self.executor.spawn(running).detach();
     }
 
     /// Return a new random generator, seeded without a lock.
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -145,7 +145,7 @@
         Event::Stopped.log(&self.node.board.identity.upstream);
         self.shutdown_tx.close();
         for thread in self.threads {
-            // A worker can't have panicked here: a panic aborts the process.
+            // Tasks contain their panics, so a worker has none to report.
             let _ = thread.join();
         }
     }
@@ -214,22 +214,22 @@
     }
     let gossip = Arc::new(gossip);
     let receiving = Arc::clone(&gossip);
-    node.spawn(async move { receiving.run().await });
+    node.spawn_controller("gossip", async move { receiving.run().await });
     spawn_membership(node, &gossip, &platform);
-    node.spawn(controllers::control_configuration(
-        Arc::clone(node),
-        gossip,
-        platform,
-    ));
-    node.spawn(controllers::control_routes(Arc::clone(node)));
-    node.spawn(controllers::control_links(Arc::clone(node)));
-    node.spawn(controllers::control_health(Arc::clone(node)));
-    node.spawn(controllers::control_limiter(Arc::clone(node)));
-    node.spawn(controllers::control_stop(Arc::clone(node)));
-    node.spawn(control_admission(Arc::clone(node)));
-    node.spawn(control_ledger(Arc::clone(node)));
-    node.spawn(serve_links(Arc::clone(node), link_listener));
-    node.spawn(serve_callers(Arc::clone(node), entry_listener));
+    let configuration = controllers::control_configuration(Arc::clone(node), gossip, platform);
+    node.spawn_controller("configuration", configuration);
+    node.spawn_controller("routes", controllers::control_routes(Arc::clone(node)));
+    node.spawn_controller("links", controllers::control_links(Arc::clone(node)));
+    node.spawn_controller("health", controllers::control_health(Arc::clone(node)));
+    node.spawn_controller("limiter", controllers::control_limiter(Arc::clone(node)));
+    let stop = controllers::control_stop(Arc::clone(node));
+    node.spawn_controller("stop", stop);
+    node.spawn_controller("admission", control_admission(Arc::clone(node)));
+    node.spawn_controller("ledger", control_ledger(Arc::clone(node)));
+    let links = serve_links(Arc::clone(node), link_listener);
+    node.spawn_controller("link listener", links);
+    let callers = serve_callers(Arc::clone(node), entry_listener);
+    node.spawn_controller("entry listener", callers);
     Ok(())
 }
 
@@ -245,13 +245,15 @@
             Arc::clone(gossip),
             Arc::clone(platform),
         );
-        node.spawn(registry);
-        node.spawn(controllers::control_local(Arc::clone(node)));
-        node.spawn(control_load_probes(Arc::clone(node), discovery.clone()));
+        node.spawn_controller("registry", registry);
+        node.spawn_controller("local", controllers::control_local(Arc::clone(node)));
+        let load_probes = control_load_probes(Arc::clone(node), discovery.clone());
+        node.spawn_controller("load probes", load_probes);
     } else {
         let hosts = controllers::control_hosts(Arc::clone(node), Arc::clone(platform));
-        node.spawn(hosts);
-        node.spawn(controllers::control_measurements(Arc::clone(node)));
+        node.spawn_controller("hosts", hosts);
+        let measurements = controllers::control_measurements(Arc::clone(node));
+        node.spawn_controller("measurements", measurements);
     }
 }
 
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -67,6 +67,17 @@
 }
 
 impl AttemptError {
+    /// Combine with another attempt at the same call that may have run.
+    ///
+    /// If it may, the call's outcome is unknown although this attempt did not run.
+    pub const fn after(self, other: Option<UnknownReason>) -> Self {
+        match self {
+            Self::Lost(refusal) => Self::Lost(refusal),
+            Self::Unsent(_) | Self::Refused(_) if other.is_none() => self,
+            Self::Unsent(_) | Self::Refused(_) => Self::Refused(self.refusal().after(other)),
+        }
+    }
+
     /// Return the refusal, whether it came from this entry or from the gate.
     pub const fn refusal(self) -> Refusal {
         match self {
--- a/crates/mustardtiller/src/entry/hedge.rs
+++ b/crates/mustardtiller/src/entry/hedge.rs
@@ -1,6 +1,8 @@
 //! Hedged requests: a second attempt beside a slow first one, for idempotent kinds.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use smol::future;
 
@@ -14,6 +16,8 @@
 use crate::entry::call::CallBody;
 use crate::entry::pick::CrossPlacePrice;
 use crate::entry::pick::pick;
+use crate::entry::race::RaceEnd;
+use crate::entry::race::first_answer;
 use crate::metrics::CounterId;
 use mustardtiller_core::Attempt;
 use mustardtiller_core::Deadline;
@@ -46,35 +50,29 @@
     let hedge_at = Deadline::in_millis(cx.node.clock.now(), delay_ms.max(MIN_HEDGE_DELAY_MS));
     let price = CrossPlacePrice::of(cx.node, call);
     let main = attempt(cx, Attempt::begin(), first, call);
+    let begun = AtomicBool::new(false);
     let hedge = async {
         cx.node.clock.sleep_until(hedge_at).await;
         match second_candidate(cx, service, first, price) {
             Some(second) => {
+                begun.store(true, Ordering::SeqCst);
                 cx.node.metrics.count(CounterId::Hedges);
                 attempt(cx, Attempt::begin(), &second, &mut copy).await
             }
             None => future::pending().await,
         }
     };
-    first_answer(cx, main, hedge).await
-}
-
-/// Take the first answer; a failed hedge leaves the main attempt running.
-async fn first_answer(
-    cx: AttemptCx<'_>,
-    main: impl Future<Output = Result<Answer, AttemptError>>,
-    hedge: impl Future<Output = Result<Answer, AttemptError>>,
-) -> Result<Answer, AttemptError> {
-    let hedge = async {
-        match hedge.await {
-            Ok(answer) => {
-                cx.node.metrics.count(CounterId::HedgesWon);
-                Ok(answer)
-            }
-            Err(_) => future::pending().await,
+    match first_answer(main, hedge, &begun).await {
+        RaceEnd::Main(answer) => Ok(answer),
+        RaceEnd::Hedge(answer) => {
+            cx.node.metrics.count(CounterId::HedgesWon);
+            Ok(answer)
         }
-    };
-    future::or(main, hedge).await
+        RaceEnd::Failed { main, hedge } => {
+            let unknown = hedge.and_then(|hedge| hedge.refusal().unknown());
+            Err(main.after(unknown))
+        }
+    }
 }
 
 fn second_candidate(
--- a/crates/mustardtiller/src/entry/mod.rs
+++ b/crates/mustardtiller/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod hedge;
 mod pick;
+mod race;
 mod token;
 mod trace;
 
@@ -14,5 +15,7 @@
 pub use call::CallBody;
 pub use call::Outcome;
 pub use dispatch::dispatch;
+pub use race::RaceEnd;
+pub use race::first_answer;
 pub use token::TokenText;
 pub use token::mint_token;
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -129,6 +129,10 @@
     GateOutcomeUnknown = 521 Warn "request sent, outcome unknown",
     /// Log lines about requests were dropped.
     LinesDropped = 900 Warn "log lines dropped",
+    /// A task panicked; it ended, and the daemon goes on.
+    TaskPanicked = 901 Error "task panicked",
+    /// A controller panicked; the daemon stops gracefully.
+    ControllerPanicked = 902 Error "controller panicked",
 );
 
 impl EventLevel {
--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -3,6 +3,8 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,6 +37,7 @@
 use crate::events::Event;
 use mustardtiller_config::TokenRule;
 use mustardtiller_core::Attempt;
+use mustardtiller_core::Deadline;
 use mustardtiller_core::NotRunReason;
 
 /// Path of the token endpoint.
@@ -55,26 +58,44 @@
 /// Most headers of one request.
 const MAX_HEADERS: usize = 100;
 
-/// Accept connections from callers until the daemon drains.
+/// Time for which a draining daemon waits for the first request on a new connection,
+/// and for the rest of a head that has begun to arrive, in milliseconds.
+const FIRST_REQUEST_MS: u64 = 200;
+
+/// Accept connections from callers until the entry closes.
+///
+/// While the daemon drains, new connections get one refusal each. The kernel accepts
+/// them before the daemon does, so closing the listener earlier would cut their
+/// requests.
 pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
     loop {
         let stopped = async {
-            node.board.phase.reached(Phase::Draining).await;
+            node.board.phase.reached(Phase::Closing).await;
             None
         };
         let accepted = async { Some(listener.accept().await) };
         match future::or(stopped, accepted).await {
-            None => return,
-            Some(Ok((socket, _))) => {
-                let serving = serve_caller(Arc::clone(&node), socket);
-                node.spawn(serving);
-            }
+            None => break,
+            Some(Ok((socket, _))) => spawn_caller(&node, socket),
             Some(Err(e)) => {
                 Event::AcceptFailed.log(format_args!("entry listener: {e}"));
                 node.clock.sleep_millis(10).await;
             }
         }
     }
+    // What the kernel has accepted so far is answered before the listener closes.
+    while let Some(Ok((socket, _))) = future::poll_once(listener.accept()).await {
+        spawn_caller(&node, socket);
+    }
+}
+
+fn spawn_caller(node: &Arc<Node>, socket: TcpStream) {
+    let admission = if node.board.phase.read() >= Phase::Draining {
+        CallAdmission::Refuse
+    } else {
+        CallAdmission::Serve
+    };
+    node.spawn(serve_caller(Arc::clone(node), socket, admission));
 }
 
 /// Guard that counts a caller's connection until its last byte is written.
@@ -93,12 +114,19 @@
     }
 }
 
-async fn serve_caller(node: Arc<Node>, socket: TcpStream) {
-    let _guard = ConnectionGuard::begin(&node);
+async fn serve_caller(node: Arc<Node>, socket: TcpStream, admission: CallAdmission) {
+    // A stop doesn't wait for connections that only get a refusal.
+    let _guard = match admission {
+        CallAdmission::Serve => Some(ConnectionGuard::begin(&node)),
+        CallAdmission::Refuse => None,
+    };
     let _ = socket.set_nodelay(true);
+    let peeked = socket.clone();
+    let requests = AtomicU64::new(0);
     let service = service_fn(|req| {
+        requests.fetch_add(1, Ordering::SeqCst);
         let node = Arc::clone(&node);
-        async move { Ok::<_, Infallible>(respond(&node, req).await) }
+        async move { Ok::<_, Infallible>(respond(&node, req, admission).await) }
     });
     let limits = connection_limits(&node);
     let mut builder = http1::Builder::new();
@@ -113,11 +141,38 @@
         node.board.phase.reached(Phase::Draining).await;
         None
     };
-    if future::or(finished, draining).await.is_none() {
-        // The connection closes once the request in flight is answered.
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    if future::or(finished, draining).await.is_some() {
+        return;
+    }
+    // An idle connection would be closed at once, and cut a request that is on its way.
+    // The answer to that request closes the connection.
+    let is_new = requests.load(Ordering::SeqCst) == 0;
+    if is_new || has_unread_bytes(&peeked).await {
+        let limit = Deadline::in_millis(node.clock.now(), FIRST_REQUEST_MS);
+        let served = node.clock.within(limit, connection.as_mut()).await;
+        if served.is_some() {
+            return;
+        }
     }
+    // The connection closes once the request in flight is answered.
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// What a connection's requests get.
+#[derive(Clone, Copy, Debug)]
+enum CallAdmission {
+    /// They are served.
+    Serve,
+    /// They are refused: the connection was made while the daemon drained.
+    Refuse,
+}
+
+/// Report whether bytes have arrived on a connection that are not read yet.
+async fn has_unread_bytes(socket: &TcpStream) -> bool {
+    let mut buf = [0];
+    let peeked = future::poll_once(socket.peek(&mut buf)).await;
+    matches!(peeked, Some(Ok(count)) if count > 0)
 }
 
 /// Limits of a caller's connection.
@@ -147,10 +202,17 @@
     )
 }
 
-async fn respond(node: &Arc<Node>, req: Request<Incoming>) -> Response<AnswerStream> {
+async fn respond(
+    node: &Arc<Node>,
+    req: Request<Incoming>,
+    admission: CallAdmission,
+) -> Response<AnswerStream> {
     let guard = EntryRequestGuard::begin(node);
     let closing = node.board.phase.read() >= Phase::Withdrawn;
     let mut response = match req.uri().path() {
+        _ if matches!(admission, CallAdmission::Refuse) => {
+            not_run_response(node, NotRunReason::Leaving)
+        }
         READY_PATH => ready_response(closing),
         TOKEN_PATH => token_response(node, &req).await,
         _ => Box::pin(call_response(node, req, guard)).await,
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -33,12 +33,16 @@
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Verdict;
 use mustardtiller_wire::Frame;
+use mustardtiller_wire::MAX_FRAME_BYTES;
 use mustardtiller_wire::RegistrySnapshot;
 use mustardtiller_wire::RequestHead;
 
 /// Streams that a peer may have open on one link.
 const MAX_STREAMS: usize = 2_048;
 
+/// Largest encoded registry that is sent to a peer, in bytes: one frame with its header.
+const MAX_REGISTRY_BYTES: usize = MAX_FRAME_BYTES - 64;
+
 /// Time to complete the handshake, in milliseconds.
 const HELLO_TIMEOUT_MS: u64 = 2_000;
 
@@ -280,7 +284,7 @@
                 Ok(())
             }
             Frame::FetchRegistry { stream } => {
-                let bytes = Some(self.encode_registry());
+                let bytes = self.encode_registry();
                 let _ = self.write_queue.send(Frame::Value { stream, bytes });
                 Ok(())
             }
@@ -381,7 +385,9 @@
     }
 
     /// Encode the registered upstreams for a peer.
-    fn encode_registry(&self) -> Bytes {
+    ///
+    /// Returns `None` if they don't fit a frame; the peer then reads the platform.
+    fn encode_registry(&self) -> Option<Bytes> {
         let registry = self.node.board.registry.read();
         let snapshot = RegistrySnapshot {
             revision: registry.revision,
@@ -391,7 +397,14 @@
                 .collect(),
         };
         let bytes = postcard::to_allocvec(&snapshot).expect("a registry can always be encoded");
-        Bytes::from(bytes)
+        if bytes.len() > MAX_REGISTRY_BYTES {
+            Event::RegistryFailed.log(format_args!(
+                "{} bytes are too many for a peer",
+                bytes.len()
+            ));
+            return None;
+        }
+        Some(Bytes::from(bytes))
     }
 
     /// Return the manifest or part with this digest from the artefact in force.
--- a/crates/mustardtiller/src/link/write_queue.rs
+++ b/crates/mustardtiller/src/link/write_queue.rs
@@ -7,12 +7,14 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_channel::unbounded;
-use event_listener::Event;
+use event_listener::Event as Signal;
 use smol::future;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 
+use crate::events::Event;
 use mustardtiller_wire::Frame;
+use mustardtiller_wire::WireError;
 use mustardtiller_wire::encode_frame;
 
 /// Bytes of bodies queued on one link before their senders are held back.
@@ -37,7 +39,7 @@
 #[derive(Debug)]
 struct BulkBytes {
     bytes: AtomicUsize,
-    drained: Event,
+    drained: Signal,
 }
 
 /// The receiving half of a [`WriteQueue`], which writes its frames to the connection.
@@ -54,7 +56,7 @@
     let (bulk_tx, bulk) = unbounded();
     let bulk_bytes = Arc::new(BulkBytes {
         bytes: AtomicUsize::new(0),
-        drained: Event::new(),
+        drained: Signal::new(),
     });
     let write_queue = WriteQueue {
         urgent: urgent_tx,
@@ -126,7 +128,10 @@
         while let Some(frame) = self.next().await {
             // Each batch gets a new buffer, so that idle links, the majority, hold none.
             let mut buf = Vec::new();
-            self.encode_batch(&frame, &mut buf);
+            if let Err(e) = self.encode_batch(&frame, &mut buf) {
+                Event::FrameMalformed.log(format_args!("not sent: {e}"));
+                break;
+            }
             if socket.write_all(&buf).await.is_err() {
                 break;
             }
@@ -151,23 +156,24 @@
     }
 
     /// Encode `first` and whatever else is queued, up to [`WRITE_BATCH_BYTES`].
-    fn encode_batch(&self, first: &Frame, buf: &mut Vec<u8>) {
-        self.encode(first, buf);
+    fn encode_batch(&self, first: &Frame, buf: &mut Vec<u8>) -> Result<(), WireError> {
+        self.encode(first, buf)?;
         while buf.len() < WRITE_BATCH_BYTES {
             let Ok(frame) = self.urgent.try_recv().or_else(|_| self.bulk.try_recv()) else {
-                return;
+                return Ok(());
             };
-            self.encode(&frame, buf);
+            self.encode(&frame, buf)?;
         }
+        Ok(())
     }
 
-    fn encode(&self, frame: &Frame, buf: &mut Vec<u8>) {
+    fn encode(&self, frame: &Frame, buf: &mut Vec<u8>) -> Result<(), WireError> {
         if let Frame::Data { bytes, .. } | Frame::AnswerData { bytes, .. } = frame {
             self.bulk_bytes
                 .bytes
                 .fetch_sub(bytes.len(), Ordering::SeqCst);
             self.bulk_bytes.drained.notify(usize::MAX);
         }
-        encode_frame(frame, buf).expect("heads and chunks are limited in size where they are made");
+        encode_frame(frame, buf)
     }
 }
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -82,6 +82,7 @@
     "Older configurations not taken" ConfigsOlder = "configs_older",
     "Two contents seen under one revision" ConfigsConflicting = "configs_conflicting",
     "Upstreams ejected for errors" Ejections = "ejections",
+    "Tasks that panicked" TasksPanicked = "tasks_panicked",
     "Malformed requests from callers" RequestsMalformed = "requests_malformed",
 );
 
--- a/crates/mustardtillerd/src/main.rs
+++ b/crates/mustardtillerd/src/main.rs
@@ -35,7 +35,7 @@
 const EXIT_START: u8 = 3;
 
 fn main() -> ExitCode {
-    abort_on_panic();
+    silence_task_panics();
     let matches = command().get_matches();
     let path: &String = matches
         .get_one("settings")
@@ -124,11 +124,9 @@
     }
 }
 
-/// Abort the process on any panic, because a panic means a broken invariant.
-fn abort_on_panic() {
-    let default_hook = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
-        default_hook(info);
-        std::process::abort();
-    }));
+/// Leave panics to the tasks, which contain and log them.
+///
+/// The default hook would also write a text that is no log line.
+fn silence_task_panics() {
+    std::panic::set_hook(Box::new(|_| {}));
 }
