--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -17,12 +17,14 @@
 use crate::board::Phase;
 use crate::board::ServiceRoutes;
 use crate::clock::Clock;
+use crate::daemon::contain::contained;
 use crate::events::Event;
 use crate::gate::AdmissionHandle;
 use crate::gate::LedgerHandle;
 use crate::gate::LoadProbeHandle;
 use crate::http::Dialect;
 use crate::link::maintain_link;
+use crate::metrics::CounterId;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::upstream::UpstreamPool;
@@ -80,6 +82,7 @@
     executor: Arc<Executor<'static>>,
     seed: AtomicU64,
     sequence: AtomicU64,
+    exchanges: AtomicU64,
 }
 
 impl Node {
@@ -102,17 +105,48 @@
             executor: parts.executor,
             seed: AtomicU64::new(parts.seed),
             sequence: AtomicU64::new(0),
+            exchanges: AtomicU64::new(0),
         }
     }
 
     /// Run a task to its end in the background.
+    ///
+    /// If it panics, only the task ends; the panic is counted and logged.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.executor.spawn(task).detach();
+        self.spawn_task(task).detach();
     }
 
     /// Run a task that is cancelled when its handle is dropped.
+    ///
+    /// A panic is handled as by [`Node::spawn`].
     pub fn spawn_task(&self, task: impl Future<Output = ()> + Send + 'static) -> Task<()> {
-        self.executor.spawn(task)
+        let metrics = Arc::clone(&self.metrics);
+        self.executor.spawn(async move {
+            if let Err(cause) = contained(task).await {
+                metrics.count(CounterId::TasksPanicked);
+                Event::TaskPanicked.log(cause);
+            }
+        })
+    }
+
+    /// Run a controller in the background.
+    ///
+    /// The daemon can't go on without one: if it panics, the daemon finishes what is
+    /// in flight and exits, to be started again.
+    pub fn spawn_controller(
+        self: &Arc<Self>,
+        name: &'static str,
+        controller: impl Future<Output = ()> + Send + 'static,
+    ) {
+        let node = Arc::clone(self);
+        let running = async move {
+            if let Err(cause) = contained(controller).await {
+                node.metrics.count(CounterId::TasksPanicked);
+                Event::ControllerPanicked.log(format_args!("{name}: {cause}"));
+                node.board.phase.advance(Phase::Withdrawn);
+            }
+        };
+        self.executor.spawn(running).detach();
     }
 
     /// Return a new random generator, seeded without a lock.
@@ -126,6 +160,11 @@
         self.sequence.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Return the number of the next exchange with the upstream.
+    pub fn next_exchange(&self) -> u64 {
+        self.exchanges.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Return the upstream beside this daemon, if it is known.
     #[must_use]
     pub fn own_upstream(&self) -> Option<Arc<Upstream>> {
@@ -217,6 +256,17 @@
         }
     }
 
+    /// Count calls to the platform in total and by what they read.
+    pub fn count_platform_calls(&self, what: CounterId, calls: u64) {
+        self.metrics.add(CounterId::PlatformReads, calls);
+        self.metrics.add(what, calls);
+        let starting = self.board.configuration.read().is_none()
+            || (self.settings.discovery.is_some() && self.board.hosts.read().members.is_empty());
+        if starting {
+            self.metrics.add(CounterId::StartReads, calls);
+        }
+    }
+
     /// Report whether to connect to a service before its first request.
     #[must_use]
     pub fn preconnects(&self, service: &str) -> bool {
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -71,6 +71,9 @@
     "Bytes of datagrams sent" DatagramBytesSent = "datagram_bytes_sent",
     "Bytes of datagrams received" DatagramBytesReceived = "datagram_bytes_received",
     "Calls made to the platform" PlatformReads = "platform_reads",
+    "Calls to the platform for registrations" RegistryReads = "registry_reads",
+    "Calls to the platform for configurations" ConfigReads = "config_reads",
+    "Calls to the platform before a registry and a configuration were held" StartReads = "start_reads",
     "Calls to the platform that failed" PlatformFailures = "platform_failures",
     "Values fetched from peers" PeerFetches = "peer_fetches",
     "Values that no peer had" PeerFetchesFailed = "peer_fetches_failed",
@@ -79,6 +82,7 @@
     "Older configurations not taken" ConfigsOlder = "configs_older",
     "Two contents seen under one revision" ConfigsConflicting = "configs_conflicting",
     "Upstreams ejected for errors" Ejections = "ejections",
+    "Tasks that panicked" TasksPanicked = "tasks_panicked",
     "Malformed requests from callers" RequestsMalformed = "requests_malformed",
 );
 
