perf(discover): small fleets restart as fast as before

Cause: with every daemon waiting up to 2 s for a peer, the first of a dozen that restart at once read after some 150 ms and the configuration followed 60 ms later; a daemon whose only fetch stalled waited 500 ms more.

Change: the first read after a start takes one page. That is everything in a small fleet; in a large one, a tenth of the daemons read on, and the others ask four of the daemons that the page names. While callers wait, waits are at most 1 s and mostly short. A daemon that reads at its start reads the configuration at the same time and tells a dozen peers. A fetch that takes over 100 ms no longer keeps others from beginning.

--- a/crates/mustardtiller-core/src/discover/read_schedule.rs
+++ b/crates/mustardtiller-core/src/discover/read_schedule.rs
@@ -8,11 +8,19 @@
 pub struct ReadScheduleRule {
     /// Longest wait for a peer's registry while a caller needs one, in milliseconds.
     ///
-    /// Each daemon draws its own wait, so that of a fleet that starts at once a few
-    /// daemons read and hand the registry to the others.
+    /// Each daemon draws its own wait, so that of a fleet that starts at once a part
+    /// of the daemons read and hand the registry to the others. Short waits are more
+    /// likely than long ones, so that one of a dozen daemons reads almost at once.
     pub listen_ms: u64,
     /// Longest wait for a peer's registry while no caller needs one, in milliseconds.
     pub idle_listen_ms: u64,
+    /// Share of the daemons that read all entries at a start of the whole fleet, in
+    /// thousandths.
+    ///
+    /// The others read the first page, and ask the daemons that it names.
+    pub starters_milli: u64,
+    /// Wait for the daemons named by the first page to answer, in milliseconds.
+    pub acquaint_ms: u64,
     /// Age of the registry at which the first in rank reads, in milliseconds.
     pub read_ms: u64,
     /// Additional age for each daemon before this one in its place, in milliseconds.
@@ -34,8 +42,10 @@
 impl Default for ReadScheduleRule {
     fn default() -> Self {
         Self {
-            listen_ms: 2_000,
+            listen_ms: 1_000,
             idle_listen_ms: 6_000,
+            starters_milli: 100,
+            acquaint_ms: 200,
             read_ms: 600,
             step_ms: 250,
             place_step_ms: 100,
@@ -109,6 +119,7 @@
     rule: ReadScheduleRule,
     /// This daemon's draw: its part of the longest wait, in thousandths.
     wait_milli: u64,
+    has_demand: bool,
     listen_until: Deadline,
     not_before: Deadline,
     failures: u32,
@@ -124,6 +135,7 @@
         Self {
             rule,
             wait_milli,
+            has_demand: false,
             listen_until: Deadline::in_millis(now, wait_ms),
             not_before: Deadline::at(now),
             failures: 0,
@@ -146,10 +158,32 @@
 
     /// Record that a caller needs a registry: the wait for a peer's is shortened.
     pub fn record_demand(&mut self, now: Instant) {
-        let wait_ms = self.rule.listen_ms * self.wait_milli / 1_000;
+        self.has_demand = true;
+        let wait_ms = self.rule.listen_ms * self.wait_milli * self.wait_milli / 1_000_000;
         self.listen_until = self.listen_until.min(Deadline::in_millis(now, wait_ms));
     }
 
+    /// Report whether a daemon that holds no registry reads all entries at once.
+    #[must_use]
+    pub const fn is_starter(&self) -> bool {
+        self.wait_milli < self.rule.starters_milli
+    }
+
+    /// Record that the first page was read and the daemons that it names were asked.
+    ///
+    /// Without an answer, the next read is due after [`ReadScheduleRule::acquaint_ms`]
+    /// and a drawn time more.
+    pub fn record_first_page(&mut self, now: Instant) {
+        let wait_ms = self.rule.acquaint_ms * (1_000 + 4 * self.wait_milli) / 1_000;
+        self.listen_until = Deadline::in_millis(now, wait_ms);
+    }
+
+    /// Report whether a caller needs a registry that is not there yet.
+    #[must_use]
+    pub const fn has_demand(&self) -> bool {
+        self.has_demand
+    }
+
     /// Record the result of a read, and back off with jitter if it failed.
     pub fn record_outcome(
         &mut self,
--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -25,6 +25,9 @@
 /// A reader that still fails delegates again with each of its retries.
 const DELEGATION_MS: u64 = 4_000;
 
+/// Peers that a host tells of what it read at its start, for one of a later version.
+const HANDOVER_FANOUT: usize = 4;
+
 /// Steps for which a host waits that knows no other host.
 ///
 /// In a fleet that has just started, all hosts are such.
@@ -107,6 +110,8 @@
     Refused(Version),
     /// A configuration could not be fetched.
     FetchFailed,
+    /// This host reads the platform at its start, for the hosts that it will know.
+    StartRead,
     /// A peer that can't read the platform delegates its read to this host.
     ReadRequested {
         /// Further delegations that are allowed if this host fails too.
@@ -150,6 +155,17 @@
     },
 }
 
+/// How a host that has started gets its first configuration.
+#[derive(Clone, Copy, Debug)]
+enum StartStage {
+    /// It knows no peer yet.
+    Waiting,
+    /// It has queried its first peers, or needs none.
+    Queried,
+    /// It reads the platform, and is to hand what it reads to others.
+    Reading,
+}
+
 /// Which watch of a reader is next, since the turns of the places began.
 #[derive(Clone, Copy, Debug)]
 enum WatchTurn {
@@ -180,7 +196,7 @@
     /// Whether this host was a reader of its place at the last tick.
     was_reader: bool,
     turn: WatchTurn,
-    peers_queried: bool,
+    start: StartStage,
     next_gossip: Deadline,
     next_read: Deadline,
 }
@@ -211,7 +227,7 @@
             delegation: None,
             was_reader: false,
             turn: WatchTurn::First,
-            peers_queried: false,
+            start: StartStage::Waiting,
             next_gossip: Deadline::at(now),
             next_read: Deadline::in_millis(now, first_read + rule.peers_ms * 2),
         }
@@ -258,12 +274,25 @@
                 self.back_off(now, rng);
                 SpreadEffects::new()
             }
+            SpreadEvent::StartRead => {
+                if self.held.revision == 0 {
+                    self.start = StartStage::Reading;
+                    self.next_read = Deadline::at(now);
+                }
+                self.tick(hosts, now, rng)
+            }
             SpreadEvent::ReadRequested { hops } => self.become_delegate(hops, now),
         }
     }
 
     fn tick(&mut self, hosts: &HostList, now: Instant, rng: &mut fastrand::Rng) -> SpreadEffects {
         let mut effects = SpreadEffects::new();
+        let reads = matches!(self.start, StartStage::Reading);
+        if reads && self.held.revision > 0 && !hosts.members.is_empty() {
+            self.start = StartStage::Queried;
+            let count = self.rule.fanout * HANDOVER_FANOUT;
+            self.advertise(hosts, count, false, rng, &mut effects);
+        }
         if self
             .fetching
             .is_some_and(|(_, until)| until.has_passed(now))
@@ -334,10 +363,11 @@
         now: Instant,
         rng: &mut fastrand::Rng,
     ) -> bool {
-        if self.peers_queried || self.held.revision > 0 || hosts.members.is_empty() {
+        let waits = matches!(self.start, StartStage::Waiting);
+        if !waits || self.held.revision > 0 || hosts.members.is_empty() {
             return false;
         }
-        self.peers_queried = true;
+        self.start = StartStage::Queried;
         // A host that is not listed yet is a reader too, but others read before it.
         let is_listed = hosts.state_of(&self.me).is_some();
         let extra_wait = if is_listed && hosts.is_reader(&self.me, self.rule.readers) {
--- a/crates/mustardtiller-core/tests/first_reads.rs
+++ b/crates/mustardtiller-core/tests/first_reads.rs
@@ -22,29 +22,42 @@
     Instant::from_micros(millis * 1_000)
 }
 
-/// Start `daemons` at once, each with callers; return how many read, and when all hold
-/// a registry, in milliseconds.
-fn start_at_once(daemons: usize, seed: u64) -> (usize, u64) {
+/// Start `daemons` at once, each with callers, where a complete read takes `pages` calls.
+///
+/// Returns the calls made until all hold a registry, and when that is, in milliseconds.
+fn start_at_once(daemons: usize, pages: u64, seed: u64) -> (u64, u64) {
     let rule = ReadScheduleRule::default();
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut waits: Vec<Deadline> = Vec::new();
+    let mut waits = Vec::new();
     for _ in 0..daemons {
         let mut schedule = ReadSchedule::new(rule, at(0), &mut rng);
         schedule.record_demand(at(0));
-        waits.push(schedule.next_read(None, Rank::default()));
+        let wait = schedule.next_read(None, Rank::default()).instant();
+        let reads_all = pages == 1 || schedule.is_starter();
+        waits.push((wait, reads_all));
     }
-    let first = waits.iter().min().expect("the fleet is not empty");
-    let told = first.instant().plus_micros(HANDOVER_MS * 1_000);
-    let reads = waits.iter().filter(|wait| wait.instant() < told);
-    (reads.count(), told.as_micros() / 1_000)
+    let complete = waits.iter().filter(|(_, reads_all)| *reads_all);
+    let first = complete.map(|(wait, _)| *wait).min();
+    let told = first
+        .expect("one daemon reads everything")
+        .plus_micros(HANDOVER_MS * 1_000);
+    let before = waits.iter().filter(|(wait, _)| *wait < told);
+    let calls = before.map(|(_, reads_all)| if *reads_all { pages } else { 1 });
+    (calls.sum(), told.as_micros() / 1_000)
 }
 
 #[test]
-fn few_of_a_large_fleet_read_at_its_start() {
-    for seed in 0..20 {
-        let (reads, told) = start_at_once(4_800, seed);
-        assert!(reads < 4_800 / 6, "seed {seed}: {reads} reads");
-        assert!(told < HANDOVER_MS + 20, "seed {seed}: {told} ms");
+fn a_large_fleet_makes_few_calls_at_its_start() {
+    for (daemons, pages) in [(300, 6), (4_800, 10)] {
+        for seed in 0..20 {
+            let (calls, told) = start_at_once(daemons, pages, seed);
+            let naive = daemons as u64 * pages;
+            assert!(
+                calls * 4 < naive,
+                "seed {seed}: {calls} calls of {daemons} daemons"
+            );
+            assert!(told < HANDOVER_MS + 20, "seed {seed}: {told} ms");
+        }
     }
 }
 
@@ -64,9 +77,10 @@
 
 #[test]
 fn a_small_fleet_starts_soon() {
-    let mut told: Vec<u64> = (0..50).map(|seed| start_at_once(12, seed).1).collect();
+    let mut told: Vec<u64> = (0..50).map(|seed| start_at_once(12, 1, seed).1).collect();
     told.sort_unstable();
-    assert!(told[25] < HANDOVER_MS + 250, "median {} ms", told[25]);
+    assert!(told[25] < HANDOVER_MS + 20, "median {} ms", told[25]);
+    assert!(told[45] < HANDOVER_MS + 150, "one in ten {} ms", told[45]);
 }
 
 #[test]
@@ -199,3 +213,33 @@
         assert!(longest_gap(&reads) <= 2_000, "place {silent} is silent");
     }
 }
+
+#[test]
+fn a_start_read_is_handed_to_others() {
+    let hosts = one_host_a_place(20);
+    let me = &hosts.members[0];
+    let mut rng = fastrand::Rng::with_seed(6);
+    let rule = SpreadRule {
+        alone_ms: 5_000,
+        ..SpreadRule::default()
+    };
+    let nobody = HostList::default();
+    let mut spread = Spread::new(me.name.clone(), me.place.clone(), rule, at(0), &mut rng);
+    let effects = spread.step(SpreadEvent::StartRead, &nobody, at(50), &mut rng);
+    let read = SpreadEffect::ReadPlatform { wait_until: None };
+    assert!(effects.contains(&read), "read at once: {effects:?}");
+    let version = Version {
+        revision: 1,
+        digest: Digest([1; 16]),
+    };
+    spread.step(SpreadEvent::PlatformHas(version), &nobody, at(60), &mut rng);
+    spread.step(SpreadEvent::Accepted(version), &nobody, at(61), &mut rng);
+    // The hosts become known after the configuration.
+    let effects = spread.step(SpreadEvent::Tick, &hosts, at(70), &mut rng);
+    let told = effects
+        .iter()
+        .filter(|effect| matches!(effect, SpreadEffect::Advertise { .. }));
+    assert!(told.count() >= 10, "{effects:?}");
+    let effects = spread.step(SpreadEvent::Tick, &hosts, at(71), &mut rng);
+    assert!(effects.is_empty(), "told once: {effects:?}");
+}
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -73,6 +73,10 @@
     ///
     /// The registry controller then waits less long for a peer's registry.
     pub hosts_wanted: Event,
+    /// Notified when this daemon reads the platform at its start, as no peer has told it.
+    ///
+    /// The configuration controller then reads the configuration at the same time.
+    pub start_read: Event,
     /// Notified when an upstream's error rate is high. Awaited by the health controller.
     pub unhealthy: Event,
 }
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -123,13 +123,18 @@
                 hosts_changed.await;
                 Input::Event(SpreadEvent::Tick)
             };
+            let start_read = node.board.start_read.listen();
+            let start_read = async {
+                start_read.await;
+                Input::Event(SpreadEvent::StartRead)
+            };
             let task_done = async {
                 match input_rx.recv().await {
                     Ok(input) => input,
                     Err(_) => future::pending().await,
                 }
             };
-            let timer_or_hosts = future::or(hosts_changed, ticked);
+            let timer_or_hosts = future::or(future::or(hosts_changed, start_read), ticked);
             let next = future::or(task_done, future::or(gossiped, timer_or_hosts)).await;
             let event = self.handle_input(next);
             self.step(event, &mut rng).await;
--- a/crates/mustardtiller/src/controllers/registry.rs
+++ b/crates/mustardtiller/src/controllers/registry.rs
@@ -23,6 +23,7 @@
 use crate::metrics::CounterId;
 use crate::published::PublishedError;
 use crate::published::PublishedSource;
+use crate::published::ReadExtent;
 use crate::published::Registrations;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::HostList;
@@ -61,6 +62,15 @@
 /// Time between two requests to neighbours while no registry is held, in milliseconds.
 const NEIGHBOUR_INTERVAL_MS: u64 = 50;
 
+/// Time after which a second fetch may begin beside one that has not ended, in milliseconds.
+const FETCH_HEDGE_MS: u64 = 100;
+
+/// Daemons of the first page that are asked for the registry.
+const MAX_ASKED: usize = 4;
+
+/// Daemons that are told of the first registry that this one has read.
+const MAX_TOLD_AT_START: usize = 32;
+
 /// Malformed entries that are remembered, so that each is logged only once.
 const MAX_REMEMBERED_MALFORMED: usize = 256;
 
@@ -68,6 +78,7 @@
 enum Input {
     Read {
         began: Instant,
+        extent: ReadExtent,
         registrations: Option<Registrations>,
     },
     Fetched {
@@ -91,7 +102,10 @@
     rank: Rank,
     has_registry: bool,
     reading: bool,
-    fetching: bool,
+    /// When another fetch from a peer may begin.
+    next_fetch: Deadline,
+    /// Daemons that the first page named, if only that was read so far.
+    acquaintances: Vec<SocketAddr>,
     next_request: Deadline,
     /// When a neighbour may be asked again.
     next_neighbour: Deadline,
@@ -121,7 +135,8 @@
         rank: Rank::default(),
         has_registry: false,
         reading: false,
-        fetching: false,
+        next_fetch: Deadline::at(now),
+        acquaintances: Vec::new(),
         next_request: Deadline::at(now),
         next_neighbour: Deadline::at(now),
         malformed: HashSet::new(),
@@ -174,8 +189,9 @@
                 Input::Tick => self.tick().await,
                 Input::Read {
                     began,
+                    extent,
                     registrations,
-                } => self.handle_read(began, registrations).await,
+                } => self.handle_read(began, extent, registrations).await,
                 Input::Fetched { peer, registry } => self.handle_fetched(peer, registry).await,
                 Input::Gossip(peer, message) => self.handle_message(peer, message).await,
                 Input::Neighbour => self.ask_neighbour().await,
@@ -205,7 +221,10 @@
         let next_read = self.read_schedule.next_read(self.read_at(), self.rank);
         if !self.reading && next_read.has_passed(now) {
             self.reading = true;
-            self.read(now);
+            if !self.has_registry && self.read_schedule.has_demand() {
+                self.node.board.start_read.notify(1);
+            }
+            self.read(now, self.read_extent());
         }
         let stale = self
             .read_at()
@@ -230,7 +249,7 @@
     /// Ask the daemon that last opened a link to this one, while no registry is held.
     async fn ask_neighbour(&mut self) {
         let now = self.node.clock.now();
-        if self.has_registry || self.fetching || !self.next_neighbour.has_passed(now) {
+        if self.has_registry || !self.next_neighbour.has_passed(now) {
             return;
         }
         self.next_neighbour = Deadline::in_millis(now, NEIGHBOUR_INTERVAL_MS);
@@ -283,14 +302,40 @@
         firsts.into_values().map(|(_, link)| link).collect()
     }
 
+    /// Return how much to read.
+    ///
+    /// In a large fleet, a few daemons read everything at a start; the others learn
+    /// from the first page whom to ask.
+    fn read_extent(&self) -> ReadExtent {
+        let acquainted = !self.acquaintances.is_empty();
+        if self.has_registry || acquainted || self.read_schedule.is_starter() {
+            ReadExtent::All
+        } else {
+            ReadExtent::FirstPage
+        }
+    }
+
+    /// Ask some of the daemons that the first page names for the registry.
+    async fn ask_acquaintances(&mut self, entries: &[Registration]) {
+        let own = self.node.settings.link;
+        let links = entries
+            .iter()
+            .map(|entry| link_of(&self.node, entry.address));
+        self.acquaintances = links.filter(|link| *link != own).collect();
+        self.rng.shuffle(&mut self.acquaintances);
+        for link in self.acquaintances.iter().take(MAX_ASKED) {
+            self.gossip.request_registry(*link).await;
+        }
+    }
+
     /// Start reading the registered upstreams from the platform.
-    fn read(&self, began: Instant) {
+    fn read(&self, began: Instant, extent: ReadExtent) {
         let node = Arc::clone(&self.node);
         let platform = Arc::clone(&self.platform);
         let input_tx = self.input_tx.clone();
         self.node.spawn(async move {
             let deadline = Deadline::in_millis(began, READ_TIMEOUT_MS);
-            let read = contained(platform.registrations());
+            let read = contained(platform.registrations(extent));
             let read = node.clock.within(deadline, read).await;
             let read =
                 read.map(|read| read.unwrap_or_else(|cause| Err(PublishedError::Call { cause })));
@@ -313,6 +358,7 @@
             };
             let _ = input_tx.try_send(Input::Read {
                 began,
+                extent,
                 registrations,
             });
         });
@@ -321,7 +367,12 @@
     /// Install what was read and send the change to peers.
     ///
     /// It goes to all daemons of this place and to the first in rank of each other place.
-    async fn handle_read(&mut self, began: Instant, registrations: Option<Registrations>) {
+    async fn handle_read(
+        &mut self,
+        began: Instant,
+        extent: ReadExtent,
+        registrations: Option<Registrations>,
+    ) {
         self.reading = false;
         let now = self.node.clock.now();
         let rank = self.rank;
@@ -333,6 +384,13 @@
         };
         self.read_schedule
             .record_outcome(ReadOutcome::Read, rank, now, &mut self.rng);
+        if extent == ReadExtent::FirstPage && registrations.has_more {
+            if !self.has_registry {
+                self.read_schedule.record_first_page(now);
+                self.ask_acquaintances(&registrations.entries).await;
+            }
+            return;
+        }
         for entry in registrations.malformed {
             if self.malformed.len() < MAX_REMEMBERED_MALFORMED && !self.malformed.contains(&entry) {
                 Event::RegistrationMalformed.log(&entry);
@@ -353,14 +411,20 @@
         }
         let base_digest = self.held.digest();
         let delta = registry.delta_from(&self.held);
+        let is_first = !self.has_registry;
         self.install(registry, &delta);
         let update = self.update_since(base_digest, &delta);
+        if is_first {
+            // Others have started too, and the first in rank of a place may not be up.
+            let peers = self.some_peers(MAX_TOLD_AT_START);
+            self.send_to(peers, &update).await;
+        }
         self.send_to(self.peers_in_place(), &update).await;
         self.send_to(self.first_ranked_elsewhere(), &update).await;
     }
 
     async fn handle_fetched(&mut self, peer: SocketAddr, registry: Option<Registry>) {
-        self.fetching = false;
+        self.next_fetch = Deadline::at(self.node.clock.now());
         if let Some(registry) = registry.filter(|r| self.is_newer(r.revision, r.read_at)) {
             let base_digest = self.held.digest();
             let delta = registry.delta_from(&self.held);
@@ -418,8 +482,8 @@
                 return;
             }
         }
-        if !self.fetching {
-            self.fetching = true;
+        if self.next_fetch.has_passed(now) {
+            self.next_fetch = Deadline::in_millis(now, FETCH_HEDGE_MS);
             self.fetch(peer, read_at);
         }
     }
@@ -508,6 +572,17 @@
             .collect()
     }
 
+    /// Return the link addresses of up to `count` random other daemons.
+    fn some_peers(&mut self, count: usize) -> Vec<SocketAddr> {
+        let own = self.node.settings.link;
+        let links = self.held.entries();
+        let links = links.map(|entry| link_of(&self.node, entry.address));
+        let mut links: Vec<SocketAddr> = links.filter(|link| *link != own).collect();
+        self.rng.shuffle(&mut links);
+        links.truncate(count);
+        links
+    }
+
     async fn send_to(&self, links: Vec<SocketAddr>, update: &RegistryUpdate) {
         for link in links {
             self.gossip.send_registry(link, update).await;
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -180,6 +180,7 @@
         gate: GateState::new(now, warm_at),
         phase: PhaseCell::new(),
         hosts_wanted: Signal::new(),
+        start_read: Signal::new(),
         unhealthy: Signal::new(),
     };
     Node::new(NodeParts {
--- a/crates/mustardtiller/src/lib.rs
+++ b/crates/mustardtiller/src/lib.rs
@@ -83,6 +83,7 @@
 pub use published::PublishedError;
 pub use published::PublishedSource;
 pub use published::PublishedValue;
+pub use published::ReadExtent;
 pub use published::ReadFuture;
 pub use published::Registrations;
 pub use published::parse_hosts;
--- a/crates/mustardtiller/src/published/http.rs
+++ b/crates/mustardtiller/src/published/http.rs
@@ -16,6 +16,7 @@
 use super::source::PublishedError;
 use super::source::PublishedSource;
 use super::source::PublishedValue;
+use super::source::ReadExtent;
 use super::source::ReadFuture;
 use super::source::Registrations;
 use crate::clock::Clock;
@@ -123,7 +124,7 @@
         Box::pin(self.value("/hosts"))
     }
 
-    fn registrations(&self) -> ReadFuture<'_, Registrations> {
+    fn registrations(&self, _extent: ReadExtent) -> ReadFuture<'_, Registrations> {
         Box::pin(async {
             Err(PublishedError::Absent {
                 what: "registrations",
--- a/crates/mustardtiller/src/published/mod.rs
+++ b/crates/mustardtiller/src/published/mod.rs
@@ -9,5 +9,6 @@
 pub use source::PublishedError;
 pub use source::PublishedSource;
 pub use source::PublishedValue;
+pub use source::ReadExtent;
 pub use source::ReadFuture;
 pub use source::Registrations;
--- a/crates/mustardtiller/src/published/source.rs
+++ b/crates/mustardtiller/src/published/source.rs
@@ -54,9 +54,20 @@
     pub tag: String,
 }
 
+/// How much of the registrations to read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadExtent {
+    /// One call: some of the entries, or all of them in a small fleet.
+    FirstPage,
+    /// All entries.
+    All,
+}
+
 /// The upstreams that are registered.
 #[derive(Clone, Debug, Default)]
 pub struct Registrations {
+    /// Whether there are more entries than these.
+    pub has_more: bool,
     /// Revision of the platform at which they were read; rises with each change.
     pub revision: u64,
     /// Calls to the platform that the read took.
@@ -91,5 +102,5 @@
     fn hosts(&self) -> ReadFuture<'_, Vec<u8>>;
 
     /// Read the registered upstreams.
-    fn registrations(&self) -> ReadFuture<'_, Registrations>;
+    fn registrations(&self, extent: ReadExtent) -> ReadFuture<'_, Registrations>;
 }
