--- a/crates/mustardtiller-cli/src/commands/build.rs
+++ b/crates/mustardtiller-cli/src/commands/build.rs
@@ -37,7 +37,7 @@
     ExitCode::SUCCESS
 }
 
-/// Write the parts, then move the manifest into place.
+/// Write the parts, then move the manifest into data centre.
 ///
 /// The manifest comes last, so that it never refers to a part not yet written.
 fn write(out: &Path, artefact: &Artefact) -> io::Result<()> {
--- a/crates/mustardtiller-cli/src/commands/sets.rs
+++ b/crates/mustardtiller-cli/src/commands/sets.rs
@@ -66,7 +66,7 @@
             for upstream in set.services.iter().flat_map(|s| &s.upstreams) {
                 println!(
                     "{} {} {} live",
-                    upstream.name, upstream.place, upstream.link
+                    upstream.name, upstream.data_centre, upstream.link
                 );
             }
             ExitCode::SUCCESS
--- a/crates/mustardtiller-config/src/artefact/build.rs
+++ b/crates/mustardtiller-config/src/artefact/build.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use super::parts::CallerEntry;
+use super::parts::DataCentreEntry;
 use super::parts::FORMAT;
 use super::parts::FleetPart;
 use super::parts::KindEntry;
@@ -12,7 +13,6 @@
 use super::parts::Manifest;
 use super::parts::ManifestService;
 use super::parts::PathEntry;
-use super::parts::PlaceEntry;
 use super::parts::RouteEntry;
 use super::parts::ServicePart;
 use super::parts::TokenEntry;
@@ -89,10 +89,13 @@
 }
 
 fn fleet_part(fleet: &Fleet) -> FleetPart {
-    let places = fleet.places.iter().map(|place| PlaceEntry {
-        name: place.name.to_string(),
-        region: place.region.to_string(),
-    });
+    let data_centres = fleet
+        .data_centres
+        .iter()
+        .map(|data_centre| DataCentreEntry {
+            name: data_centre.name.to_string(),
+            region: data_centre.region.to_string(),
+        });
     let paths = fleet.paths.iter().map(|path| PathEntry {
         name: path.name.to_string(),
         from: path.from.to_string(),
@@ -121,7 +124,7 @@
         idle_ms: limits.idle_ms,
     });
     FleetPart {
-        places: places.collect(),
+        data_centres: data_centres.collect(),
         paths: paths.collect(),
         callers: callers.collect(),
         routes: routes.collect(),
@@ -174,7 +177,7 @@
 fn upstream_entry(upstream: &Upstream) -> UpstreamEntry {
     UpstreamEntry {
         name: upstream.name.to_string(),
-        place: upstream.place.to_string(),
+        data_centre: upstream.data_centre.to_string(),
         address: upstream.address,
         link: upstream.link,
         slots: upstream.slots,
--- a/crates/mustardtiller-config/src/artefact/parts.rs
+++ b/crates/mustardtiller-config/src/artefact/parts.rs
@@ -38,9 +38,9 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct FleetPart {
-    /// Places and their regions.
-    pub places: Vec<PlaceEntry>,
-    /// Paths between places.
+    /// Data centres and their regions.
+    pub data_centres: Vec<DataCentreEntry>,
+    /// Paths between data centres.
     pub paths: Vec<PathEntry>,
     /// Callers and their fair-queueing shares.
     pub callers: Vec<CallerEntry>,
@@ -78,17 +78,17 @@
     pub kind: KindEntry,
 }
 
-/// A place.
+/// A data centre.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
-pub struct PlaceEntry {
+pub struct DataCentreEntry {
     /// Its name.
     pub name: String,
     /// Its region.
     pub region: String,
 }
 
-/// A path between two places.
+/// A path between two data centres.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct PathEntry {
@@ -196,8 +196,8 @@
 pub struct UpstreamEntry {
     /// Its name.
     pub name: String,
-    /// Its place.
-    pub place: String,
+    /// Its data centre.
+    pub data_centre: String,
     /// Address on its own host where it accepts HTTP connections.
     pub address: SocketAddr,
     /// Address where its daemon accepts links and gossip.
--- a/crates/mustardtiller-config/src/artefact/read.rs
+++ b/crates/mustardtiller-config/src/artefact/read.rs
@@ -19,18 +19,18 @@
 use crate::ArtefactErrorKind;
 use crate::Caller;
 use crate::CallerLimits;
+use crate::DataCentre;
 use crate::Fleet;
 use crate::Kind;
 use crate::Path;
-use crate::Place;
 use crate::Route;
 use crate::RoutePart;
 use crate::Service;
 use crate::TokenRule;
 use crate::Upstream;
 use crate::digest_of;
+use mustardtiller_core::DataCentreName;
 use mustardtiller_core::Digest;
-use mustardtiller_core::PlaceName;
 use mustardtiller_core::Preference;
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::Version;
@@ -137,7 +137,11 @@
     }
 
     pub(crate) fn services(&self, fleet: &Fleet) -> Result<Vec<Service>, ArtefactError> {
-        let places: HashSet<&PlaceName> = fleet.places.iter().map(|place| &place.name).collect();
+        let data_centres: HashSet<&DataCentreName> = fleet
+            .data_centres
+            .iter()
+            .map(|data_centre| &data_centre.name)
+            .collect();
         let mut services = Vec::new();
         let mut links = HashSet::new();
         for listed in &self.manifest.services {
@@ -149,7 +153,7 @@
                 )));
             }
             let service = service_from(&part);
-            check_service(&service, &places)?;
+            check_service(&service, &data_centres)?;
             for upstream in &service.upstreams {
                 if !links.insert(upstream.link) {
                     return Err(inconsistent(format!(
@@ -179,7 +183,12 @@
 }
 
 fn check_paths(fleet: &Fleet) -> Result<(), ArtefactError> {
-    let known = |name: &PlaceName| fleet.places.iter().any(|place| place.name == *name);
+    let known = |name: &DataCentreName| {
+        fleet
+            .data_centres
+            .iter()
+            .any(|data_centre| data_centre.name == *name)
+    };
     match fleet
         .paths
         .iter()
@@ -214,7 +223,10 @@
     Ok(())
 }
 
-fn check_service(service: &Service, places: &HashSet<&PlaceName>) -> Result<(), ArtefactError> {
+fn check_service(
+    service: &Service,
+    data_centres: &HashSet<&DataCentreName>,
+) -> Result<(), ArtefactError> {
     let is_static = !service.discovered;
     if is_static && (service.upstreams.is_empty() || service.kinds.is_empty()) {
         return Err(inconsistent(format!(
@@ -225,7 +237,7 @@
     match service
         .upstreams
         .iter()
-        .find(|u| !places.contains(&u.place) || u.slots == 0)
+        .find(|u| !data_centres.contains(&u.data_centre) || u.slots == 0)
     {
         Some(upstream) => Err(inconsistent(format!(
             "upstream {} has an unknown place or no slots",
@@ -236,9 +248,9 @@
 }
 
 fn fleet_from(part: &FleetPart, revision: u64) -> Fleet {
-    let places = part.places.iter().map(|place| Place {
-        name: place.name.as_str().into(),
-        region: Arc::from(place.region.as_str()),
+    let data_centres = part.data_centres.iter().map(|data_centre| DataCentre {
+        name: data_centre.name.as_str().into(),
+        region: Arc::from(data_centre.region.as_str()),
     });
     let paths = part.paths.iter().map(|path| Path {
         name: Arc::from(path.name.as_str()),
@@ -260,7 +272,7 @@
     let routes = part.routes.iter().map(|entry| Arc::new(route_from(entry)));
     Fleet {
         revision,
-        places: places.collect(),
+        data_centres: data_centres.collect(),
         paths: paths.collect(),
         callers: callers.collect(),
         routes: routes.collect(),
@@ -346,7 +358,7 @@
 fn upstream_from(entry: &UpstreamEntry) -> Upstream {
     Upstream {
         name: entry.name.as_str().into(),
-        place: entry.place.as_str().into(),
+        data_centre: entry.data_centre.as_str().into(),
         address: entry.address,
         link: entry.link,
         slots: entry.slots,
--- a/crates/mustardtiller-config/src/lib.rs
+++ b/crates/mustardtiller-config/src/lib.rs
@@ -1,6 +1,6 @@
 //! Reading, checking, building and comparing operators' objects.
 //!
-//! Operators describe services, upstreams, places, paths, callers and kinds of
+//! Operators describe services, upstreams, data centres, paths, callers and kinds of
 //! request as named objects in INI files. All files of a set are checked together;
 //! [`check_dir`] returns every fault at once. [`build`] turns a checked set
 //! into the artefact to publish, and [`Configuration::assemble`] decodes a
@@ -40,10 +40,10 @@
 pub use model::Caller;
 pub use model::CallerLimits;
 pub use model::Configuration;
+pub use model::DataCentre;
 pub use model::Fleet;
 pub use model::Kind;
 pub use model::Path;
-pub use model::Place;
 pub use model::Route;
 pub use model::RoutePart;
 pub use model::Service;
--- a/crates/mustardtiller-config/src/model/configuration.rs
+++ b/crates/mustardtiller-config/src/model/configuration.rs
@@ -11,12 +11,12 @@
 use crate::Service;
 use crate::Upstream;
 use mustardtiller_core::CallerName;
-use mustardtiller_core::PlaceName;
+use mustardtiller_core::DataCentreName;
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::Version;
 
-/// A validated configuration, indexed for lookup by name, host and place.
+/// A validated configuration, indexed for lookup by name, host and data centre.
 #[derive(Clone, Debug)]
 pub struct Configuration {
     /// Its version.
@@ -28,7 +28,7 @@
     /// The service of each upstream.
     owners: HashMap<UpstreamName, ServiceName>,
     callers: HashMap<CallerName, Caller>,
-    paths: HashMap<(PlaceName, PlaceName), Path>,
+    paths: HashMap<(DataCentreName, DataCentreName), Path>,
 }
 
 impl Configuration {
@@ -75,9 +75,9 @@
         self.callers.get(name)
     }
 
-    /// Return the path between two places, in either direction.
+    /// Return the path between two data centres, in either direction.
     #[must_use]
-    pub fn path(&self, from: &PlaceName, to: &PlaceName) -> Option<&Path> {
+    pub fn path(&self, from: &DataCentreName, to: &DataCentreName) -> Option<&Path> {
         self.paths.get(&(from.clone(), to.clone()))
     }
 
--- a/crates/mustardtiller-config/src/model/types.rs
+++ b/crates/mustardtiller-config/src/model/types.rs
@@ -9,8 +9,8 @@
 use smallvec::SmallVec;
 
 use mustardtiller_core::CallerName;
+use mustardtiller_core::DataCentreName;
 use mustardtiller_core::KindName;
-use mustardtiller_core::PlaceName;
 use mustardtiller_core::Preference;
 use mustardtiller_core::RouteName;
 use mustardtiller_core::ServiceName;
@@ -21,9 +21,9 @@
 pub struct Fleet {
     /// Revision of the set; must increase with every change.
     pub revision: u64,
-    /// The places.
-    pub places: Vec<Place>,
-    /// The paths between places.
+    /// The data centres.
+    pub data_centres: Vec<DataCentre>,
+    /// The paths between data centres.
     pub paths: Vec<Path>,
     /// The callers.
     pub callers: Vec<Caller>,
@@ -68,24 +68,24 @@
     pub weight: u32,
 }
 
-/// A place: a data centre or zone.
+/// A data centre, or zone.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Place {
+pub struct DataCentre {
     /// Its name.
-    pub name: PlaceName,
+    pub name: DataCentreName,
     /// The region it belongs to.
     pub region: Arc<str>,
 }
 
-/// The network path between two places, the same in both directions.
+/// The network path between two data centres, the same in both directions.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Path {
     /// Its name.
     pub name: Arc<str>,
     /// One end.
-    pub from: PlaceName,
+    pub from: DataCentreName,
     /// The other end.
-    pub to: PlaceName,
+    pub to: DataCentreName,
     /// One-way delay, in microseconds.
     pub delay_micros: u32,
     /// Price of one call, as the latency worth accepting to avoid it, in microseconds.
@@ -217,8 +217,8 @@
 pub struct Upstream {
     /// Its name.
     pub name: UpstreamName,
-    /// The place it runs in.
-    pub place: PlaceName,
+    /// The data centre it runs in.
+    pub data_centre: DataCentreName,
     /// Address on its own host where it accepts HTTP connections.
     pub address: SocketAddr,
     /// Address where its daemon accepts links and gossip.
--- a/crates/mustardtiller-config/src/objects/check.rs
+++ b/crates/mustardtiller-config/src/objects/check.rs
@@ -162,7 +162,7 @@
 fn read_set(sections: &[Section], faults: &mut Vec<Fault>) -> ObjectSet {
     let mut fleet = Fleet {
         revision: 0,
-        places: Vec::new(),
+        data_centres: Vec::new(),
         paths: Vec::new(),
         callers: Vec::new(),
         routes: Vec::new(),
@@ -175,7 +175,7 @@
     for section in sections {
         match section.kind.as_str() {
             "fleet" => fleet.revision = parse::revision(section, faults).unwrap_or_default(),
-            "place" => fleet.places.push(parse::place(section, faults)),
+            "place" => fleet.data_centres.push(parse::data_centre(section, faults)),
             "path" => fleet.paths.extend(parse::path(section, faults)),
             "caller" => fleet.callers.push(parse::caller(section, faults)),
             "service" => services.push(parse::service(section, faults)),
--- a/crates/mustardtiller-config/src/objects/parse.rs
+++ b/crates/mustardtiller-config/src/objects/parse.rs
@@ -5,11 +5,11 @@
 use smallvec::SmallVec;
 
 use crate::Caller;
+use crate::DataCentre;
 use crate::Fault;
 use crate::Fields;
 use crate::Kind;
 use crate::Path;
-use crate::Place;
 use crate::Route;
 use crate::RoutePart;
 use crate::Section;
@@ -59,11 +59,11 @@
     revision
 }
 
-pub fn place(section: &Section, faults: &mut Vec<Fault>) -> Place {
+pub fn data_centre(section: &Section, faults: &mut Vec<Fault>) -> DataCentre {
     let mut fields = Fields::new(section, faults);
     let region = Arc::from(fields.text_opt("region").unwrap_or("main"));
     fields.finish();
-    Place {
+    DataCentre {
         name: section.name.as_str().into(),
         region,
     }
@@ -262,7 +262,7 @@
 pub fn upstream(section: &Section, faults: &mut Vec<Fault>) -> Option<Member<Upstream>> {
     let mut fields = Fields::new(section, faults);
     let service = fields.name("service", "service");
-    let place = fields.name("place", "place");
+    let data_centre = fields.name("place", "place");
     let address = fields.address("address");
     let link = fields.address("link");
     let slots = fields.number("slots", 1..=10_000);
@@ -270,7 +270,7 @@
     fields.finish();
     let object = Upstream {
         name: section.name.as_str().into(),
-        place: place?.as_str().into(),
+        data_centre: data_centre?.as_str().into(),
         address: address?,
         link: link?,
         slots: slots? as u32,
--- a/crates/mustardtiller-core/src/discover/read_schedule.rs
+++ b/crates/mustardtiller-core/src/discover/read_schedule.rs
@@ -23,10 +23,10 @@
     pub acquaint_ms: u64,
     /// Age of the registry at which the first in rank reads, in milliseconds.
     pub read_ms: u64,
-    /// Additional age for each daemon before this one in its place, in milliseconds.
+    /// Additional age for each daemon before this one in its data centre, in milliseconds.
     pub step_ms: u64,
-    /// Additional age for each place before the daemon's own, in milliseconds.
-    pub place_step_ms: u64,
+    /// Additional age for each data centre before the daemon's own, in milliseconds.
+    pub data_centre_step_ms: u64,
     /// Number of ranks with their own age; all later ranks share the next age.
     pub ranks: usize,
     /// First wait of the first in rank after a failed read, in milliseconds; doubles.
@@ -48,7 +48,7 @@
             acquaint_ms: 200,
             read_ms: 600,
             step_ms: 250,
-            place_step_ms: 100,
+            data_centre_step_ms: 100,
             ranks: 4,
             retry_ms: 400,
             max_retry_ms: 4_000,
@@ -61,36 +61,36 @@
 /// A daemon's rank in the order in which daemons read the platform.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Rank {
-    /// Number of daemons before it in its place.
-    pub within_place: usize,
-    /// Number of places before its own.
-    pub place: usize,
+    /// Number of daemons before it in its data centre.
+    pub within_data_centre: usize,
+    /// Number of data centres before its own.
+    pub data_centre: usize,
 }
 
 impl Rank {
     /// Report whether the daemon's upstream is registered.
     #[must_use]
     pub const fn is_listed(self) -> bool {
-        self.within_place != usize::MAX
+        self.within_data_centre != usize::MAX
     }
 
     /// Return the rank of a daemon whose upstream is not registered.
     ///
     /// It reads after all others, since no daemon would forward its reads.
     #[must_use]
-    pub const fn unlisted(place: usize) -> Self {
+    pub const fn unlisted(data_centre: usize) -> Self {
         Self {
-            within_place: usize::MAX,
-            place,
+            within_data_centre: usize::MAX,
+            data_centre,
         }
     }
 
-    /// Report whether the daemon is first in its place.
+    /// Report whether the daemon is first in its data centre.
     ///
-    /// The first forwards within its place what it receives from other places.
+    /// The first forwards within its data centre what it receives from other data centres.
     #[must_use]
-    pub const fn is_first_of_place(self) -> bool {
-        self.within_place == 0
+    pub const fn is_first_of_data_centre(self) -> bool {
+        self.within_data_centre == 0
     }
 }
 
@@ -105,11 +105,11 @@
 
 /// One daemon's schedule of reads of the platform.
 ///
-/// The first in rank of the first place reads when the registry has reached a
-/// certain age. It sends the result to its own place and to the first in rank
-/// of each other place, which forwards it within that place. A daemon whose
+/// The first in rank of the first data centre reads when the registry has reached a
+/// certain age. It sends the result to its own data centre and to the first in rank
+/// of each other data centre, which forwards it within that data centre. A daemon whose
 /// registry grows older, because the first is gone, paused or cut off, reads
-/// for itself. Later places and ranks wait longer, so that daemons don't all
+/// for itself. Later data centres and ranks wait longer, so that daemons don't all
 /// call the platform at once during an outage.
 ///
 /// A daemon that has started listens first: its neighbours connect to it and give
@@ -149,9 +149,9 @@
     #[must_use]
     pub fn next_read(&self, read_at: Option<Instant>, rank: Rank) -> Deadline {
         let scheduled = read_at.map_or(self.listen_until, |read_at| {
-            let steps = rank.within_place.min(self.rule.ranks) as u64 * self.rule.step_ms;
-            let places = rank.place as u64 * self.rule.place_step_ms;
-            Deadline::in_millis(read_at, self.rule.read_ms + steps + places)
+            let steps = rank.within_data_centre.min(self.rule.ranks) as u64 * self.rule.step_ms;
+            let data_centres = rank.data_centre as u64 * self.rule.data_centre_step_ms;
+            Deadline::in_millis(read_at, self.rule.read_ms + steps + data_centres)
         });
         scheduled.max(self.not_before)
     }
@@ -198,7 +198,8 @@
                 self.not_before = Deadline::at(now);
             }
             ReadOutcome::Failed => {
-                let wait = self.rule.retry_ms * (rank.within_place.min(self.rule.ranks) as u64 + 1);
+                let wait =
+                    self.rule.retry_ms * (rank.within_data_centre.min(self.rule.ranks) as u64 + 1);
                 let wait = (wait << self.failures.min(4)).min(self.rule.max_retry_ms);
                 self.failures += 1;
                 let jitter = rng.u64(0..=wait / 4);
--- a/crates/mustardtiller-core/src/discover/registry.rs
+++ b/crates/mustardtiller-core/src/discover/registry.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::DataCentreName;
 use crate::Instant;
-use crate::PlaceName;
 use crate::ServiceName;
 use crate::UpstreamName;
 
@@ -28,8 +28,8 @@
     pub name: UpstreamName,
     /// Its service.
     pub service: ServiceName,
-    /// The place that it runs in.
-    pub place: PlaceName,
+    /// The data centre that it runs in.
+    pub data_centre: DataCentreName,
     /// The address on its own host where it serves HTTP.
     pub address: SocketAddr,
     /// Requests that it can run at once.
--- a/crates/mustardtiller-core/src/names/mod.rs
+++ b/crates/mustardtiller-core/src/names/mod.rs
@@ -3,8 +3,8 @@
 mod name;
 
 pub use name::CallerName;
+pub use name::DataCentreName;
 pub use name::KindName;
-pub use name::PlaceName;
 pub use name::RouteName;
 pub use name::ServiceName;
 pub use name::UpstreamName;
--- a/crates/mustardtiller-core/src/names/name.rs
+++ b/crates/mustardtiller-core/src/names/name.rs
@@ -61,8 +61,8 @@
     KindName
 );
 name_type!(
-    /// The name of a place: one data centre or zone.
-    PlaceName
+    /// The name of a data centre, or zone.
+    DataCentreName
 );
 name_type!(
     /// The name of a route from a host and path to services.
--- a/crates/mustardtiller-core/src/route/choice.rs
+++ b/crates/mustardtiller-core/src/route/choice.rs
@@ -26,9 +26,9 @@
 /// What a kind of request prefers: low latency or low cost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Preference {
-    /// Low tail latency: use a distant place rather than wait.
+    /// Low tail latency: use a distant data centre rather than wait.
     Latency,
-    /// Low cost: wait rather than use a distant place.
+    /// Low cost: wait rather than use a distant data centre.
     Cost,
 }
 
@@ -131,7 +131,7 @@
 
 /// Return the expected latency at `sample` with penalties, in microseconds.
 ///
-/// The penalties stand for errors and for the price of the upstream's place.
+/// The penalties stand for errors and for the price of the upstream's data centre.
 fn score(sample: &Sample, policy: &Policy) -> u64 {
     let slots = u64::from(sample.slots.max(1));
     let latency = decayed(
--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -20,4 +20,4 @@
 pub use sample::Sample;
 pub use split::Splitter;
 pub use subset::subset;
-pub use subset::subset_by_place;
+pub use subset::subset_by_data_centre;
--- a/crates/mustardtiller-core/src/route/sample.rs
+++ b/crates/mustardtiller-core/src/route/sample.rs
@@ -38,6 +38,6 @@
     pub ramp_milli: u32,
     /// Service time at the time of the report, in percent of the usual.
     pub work_percent: u32,
-    /// Cost of using its place, in microseconds of latency.
+    /// Cost of using its data centre, in microseconds of latency.
     pub price_micros: u32,
 }
--- a/crates/mustardtiller-core/src/route/subset.rs
+++ b/crates/mustardtiller-core/src/route/subset.rs
@@ -27,10 +27,10 @@
 
 /// Choose up to `near_size` of the near names and `far_size` of the others.
 ///
-/// An entry sends most requests to its own place and needs few links to others,
+/// An entry sends most requests to its own data centre and needs few links to others,
 /// however large the service is. Returns the indices in ascending order.
 #[must_use]
-pub fn subset_by_place<N: Hash>(
+pub fn subset_by_data_centre<N: Hash>(
     entry: &str,
     names: &[N],
     is_near: impl Fn(usize) -> bool,
--- a/crates/mustardtiller-core/src/spread/hosts.rs
+++ b/crates/mustardtiller-core/src/spread/hosts.rs
@@ -7,7 +7,7 @@
 
 use smallvec::SmallVec;
 
-use crate::PlaceName;
+use crate::DataCentreName;
 use crate::UpstreamName;
 
 /// Whether a host is live or leaving.
@@ -24,8 +24,8 @@
 pub struct Member {
     /// The upstream on the host.
     pub name: UpstreamName,
-    /// Its place.
-    pub place: PlaceName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
     /// Address of its daemon for links and gossip.
     pub link: SocketAddr,
     /// Whether it is live or leaving.
@@ -47,9 +47,9 @@
         Some(member.state)
     }
 
-    /// Report whether `me` is one of the `readers` of its place.
+    /// Report whether `me` is one of the `readers` of its data centre.
     ///
-    /// The readers are the live hosts of a place with the highest hashes, so
+    /// The readers are the live hosts of a data centre with the highest hashes, so
     /// that all daemons with the same list agree without communication. A host
     /// that is not listed is a reader too: it can't know whether another host
     /// reads for it.
@@ -60,35 +60,38 @@
         };
         let own_weight = weight(&own.name);
         let before = self.members.iter().filter(|member| {
-            member.place == own.place
+            member.data_centre == own.data_centre
                 && member.state == MemberState::Live
                 && weight(&member.name) > own_weight
         });
         before.take(readers).count() < readers
     }
 
-    /// Return how many places come before `place` in order of name, and how many there are.
+    /// Return how many data centres come before `data_centre` in order of name, and how many there are.
     #[must_use]
-    pub fn place_order(&self, place: &PlaceName) -> (usize, usize) {
-        let mut places: SmallVec<[&PlaceName; 16]> = SmallVec::new();
+    pub fn data_centre_order(&self, data_centre: &DataCentreName) -> (usize, usize) {
+        let mut data_centres: SmallVec<[&DataCentreName; 16]> = SmallVec::new();
         for member in &self.members {
-            if !places.contains(&&member.place) {
-                places.push(&member.place);
+            if !data_centres.contains(&&member.data_centre) {
+                data_centres.push(&member.data_centre);
             }
         }
-        let before = places.iter().filter(|other| ***other < *place).count();
-        (before, places.len().max(1))
+        let before = data_centres
+            .iter()
+            .filter(|other| ***other < *data_centre)
+            .count();
+        (before, data_centres.len().max(1))
     }
 
     /// Draw up to `count` random peers other than `me`.
     ///
-    /// Half of the draws are from `place`, where the network is cheap; the rest
-    /// are from the whole list, so that the gossip reaches every place.
+    /// Half of the draws are from `data_centre`, where the network is cheap; the rest
+    /// are from the whole list, so that the gossip reaches every data centre.
     #[must_use]
     pub fn draw_peers(
         &self,
         me: &UpstreamName,
-        place: &PlaceName,
+        data_centre: &DataCentreName,
         count: usize,
         rng: &mut fastrand::Rng,
     ) -> SmallVec<[SocketAddr; 4]> {
@@ -98,7 +101,7 @@
                 break;
             }
             let near = rng.bool();
-            let member = self.draw(near.then_some(place), rng);
+            let member = self.draw(near.then_some(data_centre), rng);
             if member.name != *me && !peers.contains(&member.link) {
                 peers.push(member.link);
             }
@@ -106,12 +109,12 @@
         peers
     }
 
-    /// Draw a random member, from `place` if a few draws find one there.
-    fn draw(&self, place: Option<&PlaceName>, rng: &mut fastrand::Rng) -> &Member {
+    /// Draw a random member, from `data_centre` if a few draws find one there.
+    fn draw(&self, data_centre: Option<&DataCentreName>, rng: &mut fastrand::Rng) -> &Member {
         let mut member = &self.members[rng.usize(..self.members.len())];
-        if let Some(place) = place {
+        if let Some(data_centre) = data_centre {
             for _ in 0..16 {
-                if member.place == *place {
+                if member.data_centre == *data_centre {
                     break;
                 }
                 member = &self.members[rng.usize(..self.members.len())];
--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -4,10 +4,10 @@
 
 use smallvec::SmallVec;
 
+use crate::DataCentreName;
 use crate::Deadline;
 use crate::HostList;
 use crate::Instant;
-use crate::PlaceName;
 use crate::UpstreamName;
 use crate::Version;
 
@@ -39,7 +39,7 @@
 /// Intervals, waits and counts of [`Spread`].
 #[derive(Clone, Copy, Debug)]
 pub struct SpreadRule {
-    /// Number of readers in each place: hosts that watch the platform.
+    /// Number of readers in each data centre: hosts that watch the platform.
     pub readers: usize,
     /// Number of peers to which a new version is advertised.
     pub fanout: usize,
@@ -166,7 +166,7 @@
     Reading,
 }
 
-/// Which watch of a reader is next, since the turns of the places began.
+/// Which watch of a reader is next, since the turns of the data centres began.
 #[derive(Clone, Copy, Debug)]
 enum WatchTurn {
     /// The first, whose length puts the reader in its turn.
@@ -184,7 +184,7 @@
 #[derive(Debug)]
 pub struct Spread {
     me: UpstreamName,
-    place: PlaceName,
+    data_centre: DataCentreName,
     rule: SpreadRule,
     held: Version,
     refused: SmallVec<[Version; REMEMBERED_REFUSALS]>,
@@ -193,7 +193,7 @@
     failures: u32,
     /// Until when this host is a delegate, and the further delegations allowed.
     delegation: Option<(Deadline, u8)>,
-    /// Whether this host was a reader of its place at the last tick.
+    /// Whether this host was a reader of its data centre at the last tick.
     was_reader: bool,
     turn: WatchTurn,
     start: StartStage,
@@ -209,7 +209,7 @@
     #[must_use]
     pub fn new(
         me: UpstreamName,
-        place: PlaceName,
+        data_centre: DataCentreName,
         rule: SpreadRule,
         now: Instant,
         rng: &mut fastrand::Rng,
@@ -217,7 +217,7 @@
         let first_read = rule.alone_ms / 2 + rng.u64(0..=rule.alone_ms / 2);
         Self {
             me,
-            place,
+            data_centre,
             rule,
             held: Version::default(),
             refused: SmallVec::new(),
@@ -321,18 +321,18 @@
 
     /// Return until when the next watch waits.
     ///
-    /// Readers of different places take turns: each waits one step for every place,
-    /// and the first time one step for every place up to its own. So one of them
+    /// Readers of different data centres take turns: each waits one step for every data centre,
+    /// and the first time one step for every data centre up to its own. So one of them
     /// asks the platform again each step, although few calls are made, and a watch
     /// whose connection has gone silent delays a change by a step.
     fn watch_until(&mut self, hosts: &HostList, now: Instant) -> Deadline {
-        let (before, places) = hosts.place_order(&self.place);
+        let (before, data_centres) = hosts.data_centre_order(&self.data_centre);
         let steps = if hosts.members.is_empty() {
             STEPS_WITHOUT_HOSTS
         } else {
             match std::mem::replace(&mut self.turn, WatchTurn::Later) {
                 WatchTurn::First => before + 1,
-                WatchTurn::Later => places,
+                WatchTurn::Later => data_centres,
             }
         };
         let millis = (steps as u64 * self.rule.watch_step_ms).min(self.rule.max_watch_ms);
@@ -443,7 +443,7 @@
             None => 0,
         };
         if let Some(hops) = hops.checked_sub(1) {
-            let peers = hosts.draw_peers(&self.me, &self.place, 1, rng);
+            let peers = hosts.draw_peers(&self.me, &self.data_centre, 1, rng);
             let delegates = peers.iter().copied();
             effects.extend(delegates.map(|peer| SpreadEffect::DelegateRead { peer, hops }));
         }
@@ -545,7 +545,7 @@
         rng: &mut fastrand::Rng,
         effects: &mut SpreadEffects,
     ) {
-        for peer in hosts.draw_peers(&self.me, &self.place, count, rng) {
+        for peer in hosts.draw_peers(&self.me, &self.data_centre, count, rng) {
             effects.push(SpreadEffect::Advertise { peer, wants_reply });
         }
     }
--- a/crates/mustardtiller-core/tests/first_reads.rs
+++ b/crates/mustardtiller-core/tests/first_reads.rs
@@ -117,31 +117,31 @@
     let rule = ReadScheduleRule::default();
     let mut rng = fastrand::Rng::with_seed(4);
     let schedule = ReadSchedule::new(rule, at(0), &mut rng);
-    let first_of_place = schedule.next_read(Some(at(10)), Rank::default());
-    assert_eq!(first_of_place, Deadline::at(at(10 + rule.read_ms)));
+    let first_of_data_centre = schedule.next_read(Some(at(10)), Rank::default());
+    assert_eq!(first_of_data_centre, Deadline::at(at(10 + rule.read_ms)));
     let unlisted = schedule.next_read(Some(at(10)), Rank::unlisted(0));
     assert!(unlisted >= Deadline::at(at(10 + rule.read_ms + 4 * rule.step_ms)));
 }
 
-/// One host in each of `places`; each is the only reader of its place.
-fn one_host_a_place(places: usize) -> HostList {
-    let member = |place: usize| Member {
-        name: format!("h{place}").as_str().into(),
-        place: format!("p{place}").as_str().into(),
-        link: ([10, 0, 0, place as u8], 7).into(),
+/// One host in each of `data_centres`; each is the only reader of its data centre.
+fn one_host_a_data_centre(data_centres: usize) -> HostList {
+    let member = |data_centre: usize| Member {
+        name: format!("h{data_centre}").as_str().into(),
+        data_centre: format!("p{data_centre}").as_str().into(),
+        link: ([10, 0, 0, data_centre as u8], 7).into(),
         state: MemberState::Live,
     };
     HostList {
-        members: (0..places).map(member).collect(),
+        members: (0..data_centres).map(member).collect(),
     }
 }
 
 /// Run the readers for `millis` after a change at 0 that ends all their watches.
 ///
-/// Returns when each reader's reads begin. The watches of the places in `silent` don't
+/// Returns when each reader's reads begin. The watches of the data centres in `silent` don't
 /// end before `millis`.
-fn watch_in_turns(places: usize, millis: u64, silent: &[usize]) -> Vec<u64> {
-    let hosts = one_host_a_place(places);
+fn watch_in_turns(data_centres: usize, millis: u64, silent: &[usize]) -> Vec<u64> {
+    let hosts = one_host_a_data_centre(data_centres);
     let rule = SpreadRule {
         readers: 1,
         watch_step_ms: 1_000,
@@ -153,11 +153,11 @@
         digest: Digest([1; 16]),
     };
     let mut reads = Vec::new();
-    for place in 0..places {
-        let member = &hosts.members[place];
+    for data_centre in 0..data_centres {
+        let member = &hosts.members[data_centre];
         let mut spread = Spread::new(
             member.name.clone(),
-            member.place.clone(),
+            member.data_centre.clone(),
             rule,
             at(0),
             &mut rng,
@@ -176,7 +176,7 @@
                 continue;
             };
             reads.push(now);
-            if silent.contains(&place) {
+            if silent.contains(&data_centre) {
                 break;
             }
             now = until.instant().as_micros() / 1_000;
@@ -194,20 +194,20 @@
 }
 
 #[test]
-fn watches_of_all_places_cost_as_much_as_one() {
-    for places in [1, 3, 5, 13] {
-        let reads = watch_in_turns(places, 60_000, &[]);
+fn watches_of_all_data_centres_cost_as_much_as_one() {
+    for data_centres in [1, 3, 5, 13] {
+        let reads = watch_in_turns(data_centres, 60_000, &[]);
         assert!(
-            reads.len() <= 60 + 2 * places,
-            "{places} places: {} reads in a minute",
+            reads.len() <= 60 + 2 * data_centres,
+            "{data_centres} places: {} reads in a minute",
             reads.len()
         );
-        assert!(longest_gap(&reads) <= 1_000, "{places} places");
+        assert!(longest_gap(&reads) <= 1_000, "{data_centres} places");
     }
 }
 
 #[test]
-fn a_silent_watch_is_covered_by_the_next_place() {
+fn a_silent_watch_is_covered_by_the_next_data_centre() {
     for silent in 0..5 {
         let reads = watch_in_turns(5, 60_000, &[silent]);
         assert!(longest_gap(&reads) <= 2_000, "place {silent} is silent");
@@ -216,7 +216,7 @@
 
 #[test]
 fn a_start_read_is_handed_to_others() {
-    let hosts = one_host_a_place(20);
+    let hosts = one_host_a_data_centre(20);
     let me = &hosts.members[0];
     let mut rng = fastrand::Rng::with_seed(6);
     let rule = SpreadRule {
@@ -224,7 +224,13 @@
         ..SpreadRule::default()
     };
     let nobody = HostList::default();
-    let mut spread = Spread::new(me.name.clone(), me.place.clone(), rule, at(0), &mut rng);
+    let mut spread = Spread::new(
+        me.name.clone(),
+        me.data_centre.clone(),
+        rule,
+        at(0),
+        &mut rng,
+    );
     let effects = spread.step(SpreadEvent::StartRead, &nobody, at(50), &mut rng);
     let read = SpreadEffect::ReadPlatform { wait_until: None };
     assert!(effects.contains(&read), "read at once: {effects:?}");
--- a/crates/mustardtiller-core/tests/read_schedule.rs
+++ b/crates/mustardtiller-core/tests/read_schedule.rs
@@ -18,7 +18,7 @@
     Registration {
         name: name.into(),
         service: "shop".into(),
-        place: "here".into(),
+        data_centre: "here".into(),
         address: ([127, 0, 0, 1], port).into(),
         slots: 4,
         state: RegistrationState::Ready,
@@ -27,44 +27,45 @@
     }
 }
 
-const fn rank(within_place: usize, place: usize) -> Rank {
+const fn rank(within_data_centre: usize, data_centre: usize) -> Rank {
     Rank {
-        within_place,
-        place,
+        within_data_centre,
+        data_centre,
     }
 }
 
-/// Simulate the daemons of several places in virtual time.
+/// Simulate the daemons of several data centres in virtual time.
 ///
 /// `can_read` decides whether the daemon of a rank can read at a time, and
-/// `reaches` whether its result reaches another place. Returns the number of
-/// reads and the greatest age of any place's registry, in milliseconds.
-fn simulate_places(
-    (places, daemons): (usize, usize),
+/// `reaches` whether its result reaches another data centre. Returns the number of
+/// reads and the greatest age of any data centre's registry, in milliseconds.
+fn simulate_data_centres(
+    (data_centres, daemons): (usize, usize),
     millis: u64,
     can_read: impl Fn(Rank, u64) -> bool,
     reaches: impl Fn(usize, usize) -> bool,
 ) -> (usize, u64) {
     let rule = ReadScheduleRule::default();
     let mut rng = fastrand::Rng::with_seed(3);
-    let all = (0..places).flat_map(|place| (0..daemons).map(move |within| rank(within, place)));
+    let all = (0..data_centres)
+        .flat_map(|data_centre| (0..daemons).map(move |within| rank(within, data_centre)));
     let all: Vec<Rank> = all.collect();
     let mut schedules: Vec<ReadSchedule> = all
         .iter()
         .map(|_| ReadSchedule::new(rule, at(0), &mut rng))
         .collect();
-    let mut read_at: Vec<Option<Instant>> = vec![None; places];
+    let mut read_at: Vec<Option<Instant>> = vec![None; data_centres];
     let (mut reads, mut oldest) = (0, 0);
     for now in 0..millis {
         for (index, &rank) in all.iter().enumerate() {
-            let next = schedules[index].next_read(read_at[rank.place], rank);
+            let next = schedules[index].next_read(read_at[rank.data_centre], rank);
             if !next.has_passed(at(now)) {
                 continue;
             }
             reads += 1;
             let outcome = if can_read(rank, now) {
-                for (place, read_at) in read_at.iter_mut().enumerate() {
-                    if place == rank.place || reaches(rank.place, place) {
+                for (data_centre, read_at) in read_at.iter_mut().enumerate() {
+                    if data_centre == rank.data_centre || reaches(rank.data_centre, data_centre) {
                         *read_at = Some(at(now));
                     }
                 }
@@ -82,16 +83,16 @@
 }
 
 #[test]
-fn first_place_reads_for_all_places() {
-    let (reads, oldest) = simulate_places((5, 16), 60_000, |_, _| true, |_, _| true);
+fn first_data_centre_reads_for_all() {
+    let (reads, oldest) = simulate_data_centres((5, 16), 60_000, |_, _| true, |_, _| true);
     assert!(reads <= 60_000 / 600 + 80, "{reads} reads");
     assert!(oldest <= 600, "{oldest} ms");
 }
 
 #[test]
-fn partitioned_place_reads_for_itself() {
+fn partitioned_data_centre_reads_for_itself() {
     let not_place_0 = |from, to| from != 0 && to != 0;
-    let (reads, oldest) = simulate_places((5, 16), 60_000, |_, _| true, not_place_0);
+    let (reads, oldest) = simulate_data_centres((5, 16), 60_000, |_, _| true, not_place_0);
     assert!(reads <= 2 * 60_000 / 600 + 80, "{reads} reads");
     assert!(
         oldest < 1_800,
@@ -100,20 +101,20 @@
 }
 
 #[test]
-fn next_place_reads_when_the_first_can_not() {
-    let can_read = |rank: Rank, now| now < 10_000 || rank.place != 0;
-    let (_, oldest) = simulate_places((5, 16), 60_000, can_read, |_, _| true);
+fn next_data_centre_reads_when_the_first_can_not() {
+    let can_read = |rank: Rank, now| now < 10_000 || rank.data_centre != 0;
+    let (_, oldest) = simulate_data_centres((5, 16), 60_000, can_read, |_, _| true);
     assert!(oldest < 1_000, "{oldest} ms");
 }
 
-/// Simulate the daemons of one place, as [`simulate_places`] does.
+/// Simulate the daemons of one data centre, as [`simulate_data_centres`] does.
 fn simulate(daemons: usize, millis: u64, can_read: impl Fn(usize, u64) -> bool) -> (usize, u64) {
-    let can_read = |rank: Rank, now| can_read(rank.within_place, now);
-    simulate_places((1, daemons), millis, can_read, |_, _| true)
+    let can_read = |rank: Rank, now| can_read(rank.within_data_centre, now);
+    simulate_data_centres((1, daemons), millis, can_read, |_, _| true)
 }
 
 #[test]
-fn first_daemon_reads_for_its_place() {
+fn first_daemon_reads_for_its_data_centre() {
     let (reads, oldest) = simulate(30, 60_000, |_, _| true);
     assert!(reads <= 60_000 / 600 + 30, "{reads} reads");
     assert!(oldest <= 600);
--- a/crates/mustardtiller-core/tests/reader_change.rs
+++ b/crates/mustardtiller-core/tests/reader_change.rs
@@ -1,4 +1,4 @@
-//! Reader election: another host reads when the reader of its place leaves.
+//! Reader election: another host reads when the reader of its data centre leaves.
 
 use mustardtiller_core::Digest;
 use mustardtiller_core::HostList;
@@ -35,7 +35,7 @@
 fn hosts() -> HostList {
     let members = (0..4_u8).map(|index| Member {
         name: UpstreamName::new(&format!("u{index}")),
-        place: "here".into(),
+        data_centre: "here".into(),
         link: ([10, 0, 0, index], 9_000).into(),
         state: MemberState::Live,
     });
--- a/crates/mustardtiller-core/tests/spread_fleet.rs
+++ b/crates/mustardtiller-core/tests/spread_fleet.rs
@@ -90,7 +90,7 @@
     fn new(loss_percent: u8) -> Self {
         let members = (0..MEMBERS).map(|index| Member {
             name: UpstreamName::new(&format!("u{index}")),
-            place: format!("p{}", index % PLACES).as_str().into(),
+            data_centre: format!("p{}", index % PLACES).as_str().into(),
             link: address(index),
             state: MemberState::Live,
         });
@@ -131,10 +131,10 @@
             ..SpreadRule::default()
         };
         let member = &self.hosts.members[index];
-        let (name, place) = (member.name.clone(), member.place.clone());
+        let (name, data_centre) = (member.name.clone(), member.data_centre.clone());
         Spread::new(
             name,
-            place,
+            data_centre,
             rule,
             Instant::from_micros(now),
             &mut self.rngs[index],
@@ -258,7 +258,7 @@
         }
     }
 
-    /// Report whether a partition, of five places from the others, separates two members.
+    /// Report whether a partition, of five data centres from the others, separates two members.
     fn is_partitioned(&self, now: u64, one: usize, other: usize) -> bool {
         let side = |index: usize| index % PLACES < 5;
         let during = self
--- a/crates/mustardtiller-soak/src/daemons.rs
+++ b/crates/mustardtiller-soak/src/daemons.rs
@@ -31,7 +31,7 @@
 
 /// Return the data centre of a host.
 #[must_use]
-pub const fn place_of(host: usize) -> &'static str {
+pub const fn data_centre_of(host: usize) -> &'static str {
     PLACES[host % PLACES.len()]
 }
 
@@ -68,7 +68,7 @@
     /// Panics if the file can't be written.
     pub fn write_settings(&self, block: &AddressBlock, host: usize, spare: u64) {
         let text = format!(
-            "[daemon]\nupstream = daemon-{host}\nplace = {place}\nentry = {entry}\nlink = {link}\n\
+            "[daemon]\nupstream = daemon-{host}\nplace = {data_centre}\nentry = {entry}\nlink = {link}\n\
              link_listen = {listen}\ncaller = shop\nthreads = {threads}\nlog_level = info\n\
              request_lines_per_s = 200\nwithdraw_ms = 400\nstop_ms = 4000\n\
              [platform]\nkind = store\naddress = {store}\n\
@@ -77,7 +77,7 @@
              [spread]\nreaders = 1\nstart_ms = 300\nwatch_step_ms = 1000\npeers_ms = 60\ngossip_ms = 500\n\
              retry_ms = 200\nmax_retry_ms = 1000\n\
              [retries]\npercent = 20\nspare = {spare}\nwindow_ms = 10000\n",
-            place = place_of(host),
+            data_centre = data_centre_of(host),
             threads = 1 + host % 2,
             entry = block.private(host, ENTRY_PORT),
             link = block.public(host, LINK_PORT),
--- a/crates/mustardtiller-soak/src/fleet.rs
+++ b/crates/mustardtiller-soak/src/fleet.rs
@@ -24,7 +24,7 @@
 use crate::daemons::LINK_PORT;
 use crate::daemons::STORE_PORT;
 use crate::daemons::UPSTREAM_PORT;
-use crate::daemons::place_of;
+use crate::daemons::data_centre_of;
 use crate::relay::Relay;
 
 /// Retries allowed to the fleet beyond the percentage.
@@ -132,7 +132,7 @@
         self.store.register(&Registration {
             name: name_of(host, incarnation),
             address: self.block.public(host, UPSTREAM_PORT),
-            place: place_of(host).to_owned(),
+            data_centre: data_centre_of(host).to_owned(),
             draining,
             started_ms: FIRST_START_MS + incarnation,
             heartbeat: incarnation + 1,
--- a/crates/mustardtiller-standin/src/bin/standin-capacity.rs
+++ b/crates/mustardtiller-standin/src/bin/standin-capacity.rs
@@ -51,7 +51,7 @@
         services: number("services"),
         services_called: number("services-called"),
         subset: number("subset"),
-        places: number("places"),
+        data_centres: number("places"),
         readers: number("readers"),
         changes_per_day: number("changes-per-day"),
         hosts_every_s: number("hosts-every-s"),
--- a/crates/mustardtiller-standin/src/capacity/page.rs
+++ b/crates/mustardtiller-standin/src/capacity/page.rs
@@ -18,9 +18,9 @@
     pub services_called: u64,
     /// Number of upstreams of a service that an entry keeps links to.
     pub subset: u64,
-    /// Number of places.
-    pub places: u64,
-    /// Number of configuration readers in each place.
+    /// Number of data centres.
+    pub data_centres: u64,
+    /// Number of configuration readers in each data centre.
     pub readers: u64,
     /// Configuration changes per day.
     pub changes_per_day: u64,
@@ -157,7 +157,7 @@
         let changes = size.changes_per_day as f64 / DAY_S;
         let manifest = (slopes.manifest_service_bytes * size.services) as f64;
         let part = slopes.part_upstream_bytes as f64 * upstreams / size.services as f64;
-        let readers = (size.places * size.readers) as f64;
+        let readers = (size.data_centres * size.readers) as f64;
         let link_mb = links * slopes.link_bytes as f64 / 1e6;
         let fleet_mb = upstreams * slopes.upstream_bytes as f64 / 1e6;
         Self {
--- a/crates/mustardtiller-standin/src/lab/fleet.rs
+++ b/crates/mustardtiller-standin/src/lab/fleet.rs
@@ -127,7 +127,7 @@
                 sorted_micros: Vec::with_capacity(scenario.requests),
                 errors: 0,
                 polls: 0,
-                cross_place: 0,
+                to_other_data_centres: 0,
                 to_failing: 0,
                 since_failing: 0,
                 requests: 0,
@@ -196,7 +196,7 @@
 
     fn count_request(&mut self, now: u64, entry: usize, upstream: usize) {
         self.result.requests += 1;
-        self.result.cross_place += u64::from(self.is_cross_place(entry, upstream));
+        self.result.to_other_data_centres += u64::from(self.is_far(entry, upstream));
         if now > self.fails_at.saturating_add(DETECTION_MICROS) {
             self.result.since_failing += 1;
             self.result.to_failing += u64::from(upstream == 0);
@@ -367,13 +367,13 @@
             .unwrap_or(0)
     }
 
-    const fn is_cross_place(&self, entry: usize, upstream: usize) -> bool {
-        entry % self.scenario.places != upstream % self.scenario.places
+    const fn is_far(&self, entry: usize, upstream: usize) -> bool {
+        entry % self.scenario.data_centres != upstream % self.scenario.data_centres
     }
 
     /// Return the one-way network delay, in microseconds.
     const fn delay(&self, entry: usize, upstream: usize) -> u64 {
-        if self.is_cross_place(entry, upstream) {
+        if self.is_far(entry, upstream) {
             self.scenario.delay_micros
         } else {
             100
@@ -382,9 +382,9 @@
 
     /// Return the price of an upstream for the daemon's policy, in microseconds.
     ///
-    /// For another place, it is the price of the call and the round trip.
+    /// For another data centre, it is the price of the call and the round trip.
     const fn price(&self, entry: usize, upstream: usize) -> u32 {
-        if self.is_cross_place(entry, upstream) {
+        if self.is_far(entry, upstream) {
             self.scenario.price_micros + self.scenario.delay_micros as u32 * 2
         } else {
             0
--- a/crates/mustardtiller-standin/src/lab/scenario.rs
+++ b/crates/mustardtiller-standin/src/lab/scenario.rs
@@ -5,15 +5,15 @@
 pub struct Scenario {
     /// Name, used as the table's heading.
     pub name: &'static str,
-    /// Number of entries, spread evenly over the places.
+    /// Number of entries, spread evenly over the data centres.
     pub entries: usize,
-    /// Number of upstreams, spread evenly over the places.
+    /// Number of upstreams, spread evenly over the data centres.
     pub upstreams: usize,
-    /// Number of places.
-    pub places: usize,
-    /// One-way delay between places, in microseconds.
+    /// Number of data centres.
+    pub data_centres: usize,
+    /// One-way delay between data centres, in microseconds.
     pub delay_micros: u64,
-    /// Price of a call to another place, in microseconds of latency.
+    /// Price of a call to another data centre, in microseconds of latency.
     pub price_micros: u32,
     /// Requests that an upstream runs at once.
     pub slots: u32,
@@ -34,14 +34,14 @@
 }
 
 impl Scenario {
-    /// Return the scenario of one service of the forge deployment, in three places.
+    /// Return the scenario of one service of the forge deployment, in three data centres.
     #[must_use]
     pub const fn forge() -> Self {
         Self {
             name: "forge katalog, shifting, 85%",
             entries: 12,
             upstreams: 5,
-            places: 3,
+            data_centres: 3,
             delay_micros: 3_000,
             price_micros: 2_000,
             slots: 12,
@@ -55,14 +55,14 @@
         }
     }
 
-    /// Return the scenario of one service of the doormats deployment, in four places.
+    /// Return the scenario of one service of the doormats deployment, in four data centres.
     #[must_use]
     pub const fn doormats() -> Self {
         Self {
             name: "doormats vitrina, shifting, 85%",
             entries: 12,
             upstreams: 4,
-            places: 4,
+            data_centres: 4,
             delay_micros: 5_000,
             price_micros: 6_000,
             slots: 9,
--- a/crates/mustardtiller-standin/src/lab/tables.rs
+++ b/crates/mustardtiller-standin/src/lab/tables.rs
@@ -13,8 +13,8 @@
     pub errors: u64,
     /// Number of load polls.
     pub polls: u64,
-    /// Number of requests sent to another place.
-    pub cross_place: u64,
+    /// Number of requests sent to another data centre.
+    pub to_other_data_centres: u64,
     /// Requests sent to the failing upstream, from 100 ms after it began to fail.
     pub to_failing: u64,
     /// Requests sent to any upstream in the same time.
@@ -52,7 +52,7 @@
             result.quantile_ms(0.999),
             result.errors as f64 * 100.0 / all,
             result.polls as f64 / all,
-            result.cross_place as f64 * 100.0 / all,
+            result.to_other_data_centres as f64 * 100.0 / all,
             result.to_failing as f64 * 100.0 / result.since_failing.max(1) as f64,
         );
     }
--- a/crates/mustardtiller-standin/tests/capacity_page.rs
+++ b/crates/mustardtiller-standin/tests/capacity_page.rs
@@ -16,7 +16,7 @@
         services: 190,
         services_called: 22,
         subset: 20,
-        places: 13,
+        data_centres: 13,
         readers: 3,
         changes_per_day: 8_000,
         hosts_every_s: 60,
--- a/crates/mustardtiller-wire/src/gossip/registration.rs
+++ b/crates/mustardtiller-wire/src/gossip/registration.rs
@@ -16,8 +16,8 @@
     pub name: String,
     /// The service it belongs to.
     pub service: String,
-    /// The place it runs in.
-    pub place: String,
+    /// The data centre it runs in.
+    pub data_centre: String,
     /// Address on its own host where it accepts HTTP connections.
     pub address: SocketAddr,
     /// Largest number of requests it runs concurrently.
@@ -35,7 +35,7 @@
         Self {
             name: entry.name.to_string(),
             service: entry.service.to_string(),
-            place: entry.place.to_string(),
+            data_centre: entry.data_centre.to_string(),
             address: entry.address,
             slots: entry.slots,
             draining: entry.state == RegistrationState::Draining,
@@ -55,7 +55,7 @@
         Self {
             name: wire.name.as_str().into(),
             service: wire.service.as_str().into(),
-            place: wire.place.as_str().into(),
+            data_centre: wire.data_centre.as_str().into(),
             address: wire.address,
             slots: wire.slots,
             state,
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -13,9 +13,9 @@
 use mustardtiller_config::Artefact;
 use mustardtiller_config::Configuration;
 use mustardtiller_config::Upstream;
+use mustardtiller_core::DataCentreName;
 use mustardtiller_core::HostList;
 use mustardtiller_core::Incarnation;
-use mustardtiller_core::PlaceName;
 use mustardtiller_core::Registry;
 use mustardtiller_core::UpstreamName;
 
@@ -24,8 +24,8 @@
 pub struct Identity {
     /// The name of this daemon; without discovery also that of its upstream.
     pub upstream: UpstreamName,
-    /// The place (data centre) in which the daemon runs.
-    pub place: PlaceName,
+    /// The data centre (data centre) in which the daemon runs.
+    pub data_centre: DataCentreName,
     /// The incarnation of this process, new with every start.
     pub incarnation: Incarnation,
     /// The address at which other daemons reach this one.
--- a/crates/mustardtiller/src/board/candidate.rs
+++ b/crates/mustardtiller/src/board/candidate.rs
@@ -16,8 +16,8 @@
     pub upstream: Arc<Upstream>,
     /// The service to which the upstream belongs.
     pub service: ServiceName,
-    /// Whether the upstream runs in another place than this daemon.
-    pub in_other_place: bool,
+    /// Whether the upstream runs in another data centre than this daemon.
+    pub in_other_data_centre: bool,
     /// Cost of reaching the upstream from here, in microseconds of latency.
     pub price_micros: u32,
     /// Load, latency and error signals; shared between successive snapshots.
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -74,7 +74,7 @@
     let identity = &node.board.identity;
     let spread = Spread::new(
         node.member_name(),
-        identity.place.clone(),
+        identity.data_centre.clone(),
         node.settings.spread,
         node.clock.now(),
         &mut rng,
--- a/crates/mustardtiller/src/controllers/local.rs
+++ b/crates/mustardtiller/src/controllers/local.rs
@@ -127,7 +127,7 @@
     Event::OwnUpstreamIdentified.log(format_args!("{} with {slots} slots", probed.name));
     let upstream = Upstream {
         name: probed.name.clone(),
-        place: node.board.identity.place.clone(),
+        data_centre: node.board.identity.data_centre.clone(),
         address: discovery.upstream,
         link: node.settings.link,
         slots,
--- a/crates/mustardtiller/src/controllers/registry.rs
+++ b/crates/mustardtiller/src/controllers/registry.rs
@@ -25,12 +25,12 @@
 use crate::published::PublishedSource;
 use crate::published::ReadExtent;
 use crate::published::Registrations;
+use mustardtiller_core::DataCentreName;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::HostList;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Member;
 use mustardtiller_core::MemberState;
-use mustardtiller_core::PlaceName;
 use mustardtiller_core::Rank;
 use mustardtiller_core::ReadOutcome;
 use mustardtiller_core::ReadSchedule;
@@ -48,7 +48,7 @@
 
 /// Age at which the registry held is stale, in milliseconds.
 ///
-/// The registry of a peer is then requested, preferably of one in another place.
+/// The registry of a peer is then requested, preferably of one in another data centre.
 const STALE_MS: u64 = 1_600;
 
 /// Age at which a daemon whose upstream is not registered requests it, in milliseconds.
@@ -268,35 +268,46 @@
 
     /// Compute this daemon's rank in the order of readers.
     fn compute_rank(&self) -> Rank {
-        let here = &self.node.board.identity.place;
+        let here = &self.node.board.identity.data_centre;
         let own = rank_hash(self.node.settings.link);
-        let peers = self.held.entries().filter(|entry| entry.place == *here);
-        let within_place = peers
+        let peers = self
+            .held
+            .entries()
+            .filter(|entry| entry.data_centre == *here);
+        let within_data_centre = peers
             .map(|entry| rank_hash(link_of(&self.node, entry.address)))
             .filter(|other| *other < own)
             .count();
-        let places: HashSet<&PlaceName> = self.held.entries().map(|entry| &entry.place).collect();
-        let before = places
+        let data_centres: HashSet<&DataCentreName> = self
+            .held
+            .entries()
+            .map(|entry| &entry.data_centre)
+            .collect();
+        let before = data_centres
             .iter()
-            .filter(|place| rank_hash(place) < rank_hash(here));
-        let place = before.count();
+            .filter(|data_centre| rank_hash(data_centre) < rank_hash(here));
+        let data_centre = before.count();
         if !self.is_listed() {
-            return Rank::unlisted(place);
+            return Rank::unlisted(data_centre);
         }
         Rank {
-            within_place,
-            place,
+            within_data_centre,
+            data_centre,
         }
     }
 
-    /// Return the link address of the first-ranked daemon in each other place.
+    /// Return the link address of the first-ranked daemon in each other data centre.
     fn first_ranked_elsewhere(&self) -> Vec<SocketAddr> {
-        let here = &self.node.board.identity.place;
-        let mut firsts: HashMap<&PlaceName, (u64, SocketAddr)> = HashMap::new();
-        for entry in self.held.entries().filter(|entry| entry.place != *here) {
+        let here = &self.node.board.identity.data_centre;
+        let mut firsts: HashMap<&DataCentreName, (u64, SocketAddr)> = HashMap::new();
+        for entry in self
+            .held
+            .entries()
+            .filter(|entry| entry.data_centre != *here)
+        {
             let link = link_of(&self.node, entry.address);
             let candidate = (rank_hash(link), link);
-            let first = firsts.entry(&entry.place).or_insert(candidate);
+            let first = firsts.entry(&entry.data_centre).or_insert(candidate);
             *first = candidate.min(*first);
         }
         firsts.into_values().map(|(_, link)| link).collect()
@@ -366,7 +377,7 @@
 
     /// Install what was read and send the change to peers.
     ///
-    /// It goes to all daemons of this place and to the first in rank of each other place.
+    /// It goes to all daemons of this data centre and to the first in rank of each other data centre.
     async fn handle_read(
         &mut self,
         began: Instant,
@@ -415,11 +426,11 @@
         self.install(registry, &delta);
         let update = self.update_since(base_digest, &delta);
         if is_first {
-            // Others have started too, and the first in rank of a place may not be up.
+            // Others have started too, and the first in rank of a data centre may not be up.
             let peers = self.some_peers(MAX_TOLD_AT_START);
             self.send_to(peers, &update).await;
         }
-        self.send_to(self.peers_in_place(), &update).await;
+        self.send_to(self.peers_in_data_centre(), &update).await;
         self.send_to(self.first_ranked_elsewhere(), &update).await;
     }
 
@@ -433,13 +444,13 @@
         }
     }
 
-    /// Forward a peer's update to this daemon's place.
+    /// Forward a peer's update to this daemon's data centre.
     ///
-    /// Only the first in rank of a place does so, and only with updates from other places.
+    /// Only the first in rank of a data centre does so, and only with updates from other data centres.
     async fn forward(&self, peer: SocketAddr, base_digest: u64, delta: &RegistryDelta) {
-        let peers_in_place = self.peers_in_place();
-        if self.rank.is_first_of_place() && !peers_in_place.contains(&peer) {
-            self.send_to(peers_in_place, &self.update_since(base_digest, delta))
+        let peers_in_data_centre = self.peers_in_data_centre();
+        if self.rank.is_first_of_data_centre() && !peers_in_data_centre.contains(&peer) {
+            self.send_to(peers_in_data_centre, &self.update_since(base_digest, delta))
                 .await;
         }
     }
@@ -526,7 +537,7 @@
         for entry in &delta.changed {
             Event::UpstreamRegistered.log(format_args!(
                 "{} of {} at {}: {:?}",
-                entry.name, entry.service, entry.place, entry.state
+                entry.name, entry.service, entry.data_centre, entry.state
             ));
         }
         for name in &delta.removed {
@@ -548,7 +559,7 @@
             let link = link_of(&self.node, entry.address);
             Member {
                 name: link.to_string().as_str().into(),
-                place: entry.place.clone(),
+                data_centre: entry.data_centre.clone(),
                 link,
                 state: match entry.state {
                     RegistrationState::Ready => MemberState::Live,
@@ -561,11 +572,14 @@
         }
     }
 
-    /// Return the link addresses of the other daemons in this place.
-    fn peers_in_place(&self) -> Vec<SocketAddr> {
-        let here = &self.node.board.identity.place;
+    /// Return the link addresses of the other daemons in this data centre.
+    fn peers_in_data_centre(&self) -> Vec<SocketAddr> {
+        let here = &self.node.board.identity.data_centre;
         let own = self.node.settings.link;
-        let entries = self.held.entries().filter(|entry| entry.place == *here);
+        let entries = self
+            .held
+            .entries()
+            .filter(|entry| entry.data_centre == *here);
         entries
             .map(|entry| link_of(&self.node, entry.address))
             .filter(|link| *link != own)
@@ -606,14 +620,14 @@
         }
     }
 
-    /// Choose a random peer, in another place if there is one.
+    /// Choose a random peer, in another data centre if there is one.
     fn random_peer(&mut self) -> Option<SocketAddr> {
-        let here = self.node.board.identity.place.clone();
+        let here = self.node.board.identity.data_centre.clone();
         let own = self.node.settings.link;
         let links = |elsewhere: bool| -> Vec<SocketAddr> {
             self.held
                 .entries()
-                .filter(|entry| !elsewhere || entry.place != here)
+                .filter(|entry| !elsewhere || entry.data_centre != here)
                 .map(|entry| link_of(&self.node, entry.address))
                 .filter(|link| *link != own)
                 .collect()
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -26,14 +26,14 @@
 use mustardtiller_core::Splitter;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::subset;
-use mustardtiller_core::subset_by_place;
+use mustardtiller_core::subset_by_data_centre;
 
-/// Links that an entry keeps to registered upstreams of a service in its own place.
+/// Links that an entry keeps to registered upstreams of a service in its own data centre.
 const NEAR_LINKS: usize = 10;
 
-/// Links that an entry keeps to registered upstreams of a service in other places.
+/// Links that an entry keeps to registered upstreams of a service in other data centres.
 ///
-/// These are enough to find a free slot when its own place has none.
+/// These are enough to find a free slot when its own data centre has none.
 const FAR_LINKS: usize = 6;
 
 /// Most retries or hedges that the budget of one service may accumulate.
@@ -135,10 +135,10 @@
     let names: Vec<&UpstreamName> = upstreams.iter().map(|u| &u.name).collect();
     let own_name = node.board.identity.upstream.as_str();
     let chosen = if service.discovered {
-        let here = &node.board.identity.place;
-        let is_near = |index: usize| upstreams[index].place == *here;
+        let here = &node.board.identity.data_centre;
+        let is_near = |index: usize| upstreams[index].data_centre == *here;
         let member = node.member_name();
-        subset_by_place(member.as_str(), &names, is_near, NEAR_LINKS, FAR_LINKS)
+        subset_by_data_centre(member.as_str(), &names, is_near, NEAR_LINKS, FAR_LINKS)
     } else {
         subset(own_name, &names, service.subset as usize)
     };
@@ -195,7 +195,7 @@
 fn discovered_upstream(node: &Node, entry: &Registration) -> Upstream {
     Upstream {
         name: entry.name.clone(),
-        place: entry.place.clone(),
+        data_centre: entry.data_centre.clone(),
         address: entry.address,
         link: link_of(node, entry.address),
         slots: entry.slots,
@@ -248,8 +248,8 @@
     upstream: &Arc<Upstream>,
     previous: Option<&Arc<ServiceRoutes>>,
 ) -> Arc<Candidate> {
-    let here = &node.board.identity.place;
-    let path = configuration.path(here, &upstream.place);
+    let here = &node.board.identity.data_centre;
+    let path = configuration.path(here, &upstream.data_centre);
     let price_micros = path.map_or(0, |path| path.delay_micros * 2 + path.price_micros);
     let known = previous
         .and_then(|previous| previous.find(&upstream.name))
@@ -265,7 +265,7 @@
     Arc::new(Candidate {
         upstream: Arc::clone(upstream),
         service: service.name.clone(),
-        in_other_place: upstream.place != *here,
+        in_other_data_centre: upstream.data_centre != *here,
         price_micros,
         signals,
         link_slot,
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -111,7 +111,7 @@
         Event::Started.log(format_args!(
             "{} at {}, incarnation {}",
             node.board.identity.upstream,
-            node.board.identity.place,
+            node.board.identity.data_centre,
             node.board.identity.incarnation
         ));
         Ok(Self {
@@ -160,7 +160,7 @@
 ) -> Node {
     let identity = Identity {
         upstream: settings.upstream.clone(),
-        place: settings.place.clone(),
+        data_centre: settings.data_centre.clone(),
         incarnation: Incarnation(random),
         link: settings.link,
     };
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -16,7 +16,7 @@
 use crate::entry::call::CallBody;
 use crate::entry::call::Outcome;
 use crate::entry::hedge::hedged;
-use crate::entry::pick::CrossPlacePrice;
+use crate::entry::pick::FarPrice;
 use crate::entry::pick::pick;
 use crate::entry::trace::Trace;
 use crate::metrics::CounterId;
@@ -188,7 +188,7 @@
 /// Candidates sampled for one offer with discovery.
 const FORECAST_DRAWS: usize = 6;
 
-/// Cross-place price from which a call gets only queued offers, in microseconds.
+/// Cross-data centre price from which a call gets only queued offers, in microseconds.
 const EXPENSIVE_PLACE_MICROS: u32 = 50_000;
 
 /// Upstreams that a call was offered to, and the refusals.
@@ -237,7 +237,7 @@
     call: &mut Call,
     trace: &mut Trace,
 ) -> Result<Answer, Refusal> {
-    let price = CrossPlacePrice::of(cx.node, call);
+    let price = FarPrice::of(cx.node, call);
     let mut offers = Offers::new(offer_rule(cx, call, price));
     let mut history = OfferHistory::default();
     // A call that stems from a retry earns no budget; otherwise retries at one depth
@@ -276,7 +276,7 @@
         .after(history.unknown))
 }
 
-fn offer_rule(cx: AttemptCx<'_>, call: &Call, price: CrossPlacePrice) -> OfferRule {
+fn offer_rule(cx: AttemptCx<'_>, call: &Call, price: FarPrice) -> OfferRule {
     if cx.node.settings.discovery.is_none() {
         return OfferRule {
             immediate: 0,
@@ -284,7 +284,7 @@
         };
     }
     // A call whose body is expensive to move queues at a nearby gate instead of looking
-    // for a free slot in other places. A streamed body can be sent only once, so its
+    // for a free slot in other data centres. A streamed body can be sent only once, so its
     // call gets a single offer.
     match call.body {
         CallBody::Streamed { .. } => OfferRule {
@@ -329,7 +329,7 @@
     cx: AttemptCx<'_>,
     service: &ServiceRoutes,
     history: &OfferHistory,
-    price: CrossPlacePrice,
+    price: FarPrice,
 ) -> Option<Arc<Candidate>> {
     let default_policy = Policy::default();
     let draws = match cx.node.settings.discovery {
--- a/crates/mustardtiller/src/entry/hedge.rs
+++ b/crates/mustardtiller/src/entry/hedge.rs
@@ -14,7 +14,7 @@
 use crate::entry::call::Answer;
 use crate::entry::call::Call;
 use crate::entry::call::CallBody;
-use crate::entry::pick::CrossPlacePrice;
+use crate::entry::pick::FarPrice;
 use crate::entry::pick::pick;
 use crate::entry::race::RaceEnd;
 use crate::entry::race::first_answer;
@@ -48,7 +48,7 @@
     };
     let delay_ms = u64::from(first.signals.latency_micros()) * HEDGE_DELAY_LATENCIES / 1_000;
     let hedge_at = Deadline::in_millis(cx.node.clock.now(), delay_ms.max(MIN_HEDGE_DELAY_MS));
-    let price = CrossPlacePrice::of(cx.node, call);
+    let price = FarPrice::of(cx.node, call);
     let main = attempt(cx, Attempt::begin(), first, call);
     let begun = AtomicBool::new(false);
     let hedge = async {
@@ -79,7 +79,7 @@
     cx: AttemptCx<'_>,
     service: &ServiceRoutes,
     first: &Arc<Candidate>,
-    price: CrossPlacePrice,
+    price: FarPrice,
 ) -> Option<Arc<Candidate>> {
     if !service.hedges.try_spend() {
         return None;
--- a/crates/mustardtiller/src/entry/pick.rs
+++ b/crates/mustardtiller/src/entry/pick.rs
@@ -17,20 +17,20 @@
 
 const BYTES_PER_KB: u64 = 1_024;
 
-/// Highest cross-place price, in microseconds.
+/// Highest cross-data centre price, in microseconds.
 const MAX_FAR_MICROS: u32 = 10_000_000;
 
 /// Number of candidates that are sampled without a heap allocation.
 const SAMPLES_ON_STACK: usize = 32;
 
-/// Price of sending a request to another place, in microseconds of waiting.
+/// Price of sending a request to another data centre, in microseconds of waiting.
 #[derive(Clone, Copy, Debug)]
-pub struct CrossPlacePrice {
-    /// Price of any other place, added to the price of the path.
+pub struct FarPrice {
+    /// Price of any other data centre, added to the price of the path.
     pub micros: u32,
 }
 
-impl CrossPlacePrice {
+impl FarPrice {
     /// Compute the price for a call from the length of its body.
     ///
     /// It is zero without discovery settings. A body of unknown length counts as empty.
@@ -53,12 +53,12 @@
 
 /// Choose a candidate that is not in `excluded`.
 ///
-/// `price` is added to the price of candidates in other places.
+/// `price` is added to the price of candidates in other data centres.
 pub fn pick<'a>(
     candidates: &'a [Arc<Candidate>],
     excluded: &[UpstreamName],
     policy: &Policy,
-    price: CrossPlacePrice,
+    price: FarPrice,
     now: Instant,
     rng: &mut fastrand::Rng,
 ) -> Option<&'a Arc<Candidate>> {
@@ -66,7 +66,7 @@
         .iter()
         .map(|candidate| {
             let mut sample = candidate.sample(now);
-            if candidate.in_other_place {
+            if candidate.in_other_data_centre {
                 sample.price_micros = sample.price_micros.saturating_add(price.micros);
             }
             if excluded.contains(&candidate.upstream.name) {
--- a/crates/mustardtiller/src/entry/token.rs
+++ b/crates/mustardtiller/src/entry/token.rs
@@ -66,7 +66,7 @@
         weigh: service.service.weigh,
         ..Policy::default()
     };
-    let no_price = pick::CrossPlacePrice { micros: 0 };
+    let no_price = pick::FarPrice { micros: 0 };
     let rng = &mut node.rng();
     let candidate = pick::pick(&service.candidates, &[], &policy, no_price, now, rng)?;
     let link = candidate.link_slot.get()?;
--- a/crates/mustardtiller/src/lib.rs
+++ b/crates/mustardtiller/src/lib.rs
@@ -25,7 +25,7 @@
 //! address = 127.0.0.1:6000
 //! ";
 //! let settings = Settings::read(&Source::new("daemon.ini", text)).unwrap();
-//! assert_eq!(settings.place.as_str(), "jadran-a");
+//! assert_eq!(settings.data_centre.as_str(), "jadran-a");
 //! ```
 
 mod board;
--- a/crates/mustardtiller/src/published/hosts.rs
+++ b/crates/mustardtiller/src/published/hosts.rs
@@ -31,7 +31,7 @@
 fn parse_line(line: &str) -> Option<Member> {
     let mut fields = line.split_whitespace();
     let name = fields.next()?.into();
-    let place = fields.next()?.into();
+    let data_centre = fields.next()?.into();
     let link = fields.next()?.parse().ok()?;
     let state = match fields.next()? {
         "live" => MemberState::Live,
@@ -40,7 +40,7 @@
     };
     fields.next().is_none().then_some(Member {
         name,
-        place,
+        data_centre,
         link,
         state,
     })
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -9,7 +9,7 @@
 use mustardtiller_config::Fields;
 use mustardtiller_config::Section;
 use mustardtiller_config::Source;
-use mustardtiller_core::PlaceName;
+use mustardtiller_core::DataCentreName;
 use mustardtiller_core::ReadScheduleRule;
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::SpreadRule;
@@ -48,9 +48,9 @@
     pub upstream: SocketAddr,
     /// Service of that upstream.
     pub service: ServiceName,
-    /// Timing of registry reads that daemons of one place share.
+    /// Timing of registry reads that daemons of one data centre share.
     pub read_schedule: ReadScheduleRule,
-    /// Price of a request to another place, in microseconds of waiting time.
+    /// Price of a request to another data centre, in microseconds of waiting time.
     pub far_micros: u32,
     /// Additional price per kilobyte of its body, in microseconds of waiting time.
     pub far_micros_per_kb: u32,
@@ -72,7 +72,7 @@
     pub window_ms: u64,
 }
 
-/// Highest cross-place price, in microseconds.
+/// Highest cross-data centre price, in microseconds.
 const MAX_FAR_MICROS: u64 = 10_000_000;
 
 /// Default rate of load probes, per second.
@@ -91,8 +91,8 @@
 pub struct Settings {
     /// Name of this daemon; without discovery also of the upstream beside it.
     pub upstream: UpstreamName,
-    /// Place of the daemon and its upstream.
-    pub place: PlaceName,
+    /// Data centre of the daemon and its upstream.
+    pub data_centre: DataCentreName,
     /// Address of the entry, for callers.
     pub entry: SocketAddr,
     /// Address at which other daemons reach the gate, by TCP and UDP.
@@ -197,7 +197,7 @@
         let limits = Limits::read(&limits, faults);
         let mut fields = Fields::new(&daemon, faults);
         let upstream = fields.name("upstream", "upstream");
-        let place = fields.name("place", "place");
+        let data_centre = fields.name("place", "place");
         let entry = fields.address("entry");
         let link = fields.address("link");
         let link_listen = fields.address_opt("link_listen");
@@ -214,7 +214,7 @@
         fields.finish();
         Some(Self {
             upstream: upstream?.as_str().into(),
-            place: place?.as_str().into(),
+            data_centre: data_centre?.as_str().into(),
             entry: entry?,
             link: link?,
             link_listen: link_listen.or(link)?,
