--- a/crates/mustardtiller-soak/src/fleet.rs
+++ b/crates/mustardtiller-soak/src/fleet.rs
@@ -41,6 +41,9 @@
 /// One-way latency of a slow link, in microseconds.
 const SLOW_LINK_MICROS: u64 = 60_000;
 
+/// Share of the datagrams that are changed while they are spoiled, in percent.
+const SPOIL_PERCENT: u32 = 20;
+
 /// Share of datagrams dropped during a loss, in percent.
 const LOSS_PERCENT: u32 = 40;
 
@@ -184,6 +187,10 @@
             FaultKind::UpstreamCutsBodies => set_behaviour(Behaviour::TruncatedBody),
             FaultKind::UpstreamMixes => set_behaviour(Behaviour::WrongIdentity),
             FaultKind::UpstreamHangs => set_behaviour(Behaviour::Silent),
+            FaultKind::UpstreamEndless => set_behaviour(Behaviour::EndlessBody),
+            FaultKind::UpstreamRepeats => target.to_upstream.set_repeating(true),
+            FaultKind::StoreEndless => self.store.set_fault(StoreFault::Endless),
+            FaultKind::DatagramsSpoiled => self.relay.set_spoil_percent(SPOIL_PERCENT),
             FaultKind::UpstreamSlow => slow_down(&target.upstream, SLOW_FACTOR),
             FaultKind::NewVersion => self.publish_new_version(),
         }
@@ -209,7 +216,12 @@
             FaultKind::LinksHeld(way) => set_frozen(&target.to_link, way, false),
             FaultKind::LinksSlow => target.to_link.set_delay_micros(0),
             FaultKind::DatagramsLost => self.relay.set_loss_percent(0),
-            FaultKind::StoreBusy | FaultKind::StoreSilent | FaultKind::StoreSlow => {
+            FaultKind::DatagramsSpoiled => self.relay.set_spoil_percent(0),
+            FaultKind::UpstreamRepeats => target.to_upstream.set_repeating(false),
+            FaultKind::StoreBusy
+            | FaultKind::StoreSilent
+            | FaultKind::StoreSlow
+            | FaultKind::StoreEndless => {
                 self.store.set_fault(StoreFault::None);
             }
             FaultKind::StoreCut => target.to_store.set_refusing(false),
@@ -222,6 +234,7 @@
             | FaultKind::UpstreamCuts
             | FaultKind::UpstreamCutsBodies
             | FaultKind::UpstreamMixes
+            | FaultKind::UpstreamEndless
             | FaultKind::UpstreamHangs => target.upstream.set_behaviour(Behaviour::Normal),
             FaultKind::UpstreamSlow => slow_down(&target.upstream, 1),
         }
--- a/crates/mustardtiller-soak/src/plan.rs
+++ b/crates/mustardtiller-soak/src/plan.rs
@@ -96,6 +96,14 @@
     UpstreamHangs,
     /// The upstream's service time rises, and its load reports say so.
     UpstreamSlow,
+    /// The upstream runs requests and answers with bodies without end.
+    UpstreamEndless,
+    /// Each short answer of the upstream is sent twice, the second time a little later.
+    UpstreamRepeats,
+    /// The bodies of the store's answers have no end.
+    StoreEndless,
+    /// One byte of some datagrams between daemons is changed.
+    DatagramsSpoiled,
     /// The operator publishes a configuration with one more route.
     NewVersion,
 }
@@ -139,6 +147,23 @@
     FaultKind::UpstreamSlow,
 ];
 
+/// Faults of bytes that are no answer or no message.
+///
+/// They are drawn apart from the others, so that the plans of earlier seeds keep all
+/// their faults.
+const FOREIGN: &[FaultKind] = &[
+    FaultKind::UpstreamEndless,
+    FaultKind::UpstreamRepeats,
+    FaultKind::StoreEndless,
+    FaultKind::DatagramsSpoiled,
+];
+
+/// Time for which one foreign fault is drawn, in milliseconds.
+const FOREIGN_EVERY_MS: u64 = 4_000;
+
+/// Difference between the seed of a plan and that of its foreign faults.
+const FOREIGN_SEED: u64 = 0x5EED;
+
 /// A fault at a point in time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Fault {
@@ -209,6 +234,9 @@
                 }
             })
             .collect();
+        if !planned_only {
+            faults.extend(Self::draw_foreign(seed, until, scale.hosts));
+        }
         faults.sort_by_key(|fault| fault.at_ms);
         Self {
             seed,
@@ -217,4 +245,19 @@
             planned_only,
         }
     }
+
+    /// Draw the faults of [`FOREIGN`] until `until`, in milliseconds.
+    fn draw_foreign(seed: u64, until: u64, hosts: usize) -> Vec<Fault> {
+        let mut rng = fastrand::Rng::with_seed(seed ^ FOREIGN_SEED);
+        let draw = |_| {
+            let at_ms = rng.u64(..until);
+            Fault {
+                at_ms,
+                lasts_ms: rng.u64(MIN_FAULT_MS..MAX_FAULT_MS).min(until - at_ms),
+                host: rng.usize(..hosts),
+                kind: FOREIGN[rng.usize(..FOREIGN.len())],
+            }
+        };
+        (0..until / FOREIGN_EVERY_MS).map(draw).collect()
+    }
 }
--- a/crates/mustardtiller-soak/src/relay.rs
+++ b/crates/mustardtiller-soak/src/relay.rs
@@ -1,4 +1,4 @@
-//! A relay for datagrams between daemons that drops some of them.
+//! A relay for datagrams between daemons that drops or spoils some of them.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
@@ -20,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct Relay {
     loss_percent: Arc<AtomicU32>,
+    spoil_percent: Arc<AtomicU32>,
 }
 
 impl Relay {
@@ -37,9 +38,11 @@
                 .collect(),
         );
         let loss_percent = Arc::new(AtomicU32::new(0));
+        let spoil_percent = Arc::new(AtomicU32::new(0));
         for host in 0..hosts {
             let private = block.private(host, port);
             let (sockets, loss_percent) = (Arc::clone(&sockets), Arc::clone(&loss_percent));
+            let spoil_percent = Arc::clone(&spoil_percent);
             runner.spawn(async move {
                 let mut buf = [0; MAX_DATAGRAM_BYTES];
                 loop {
@@ -47,6 +50,9 @@
                     let Ok((count, from)) = sockets[host].recv_from(&mut buf).await else {
                         continue;
                     };
+                    if count > 0 && fastrand::u32(..100) < spoil_percent.load(Ordering::Relaxed) {
+                        buf[fastrand::usize(..count)] = fastrand::u8(..);
+                    }
                     let sender = AddressBlock::host_of(from).filter(|sender| *sender < hosts);
                     if let Some(sender) = sender
                         && fastrand::u32(..100) >= loss_percent.load(Ordering::Relaxed)
@@ -57,7 +63,15 @@
                 }
             });
         }
-        Self { loss_percent }
+        Self {
+            loss_percent,
+            spoil_percent,
+        }
+    }
+
+    /// Change one byte in a share of the datagrams from now on, in percent.
+    pub fn set_spoil_percent(&self, percent: u32) {
+        self.spoil_percent.store(percent, Ordering::Relaxed);
     }
 
     /// Drop a share of the datagrams from now on, in percent.
--- a/crates/mustardtiller-soak/src/run_plan.rs
+++ b/crates/mustardtiller-soak/src/run_plan.rs
@@ -205,6 +205,7 @@
         FaultKind::StoreBusy
         | FaultKind::StoreSilent
         | FaultKind::StoreSlow
+        | FaultKind::StoreEndless
         | FaultKind::StoreForgets
         | FaultKind::StoreCut => history.store_troubles.push(span(until_ms)),
         FaultKind::LinksSilent | FaultKind::UpstreamSilent => {
--- a/crates/mustardtiller-standin/src/pipe/faults.rs
+++ b/crates/mustardtiller-standin/src/pipe/faults.rs
@@ -23,6 +23,9 @@
 /// Interval between checks whether a direction is still frozen, in milliseconds.
 const POLL_MS: u64 = 2;
 
+/// Pause before the second copy of an answer, in milliseconds.
+const REPEAT_MS: u64 = 1;
+
 #[derive(Default)]
 struct Shared {
     sockets: Mutex<Vec<TcpStream>>,
@@ -33,6 +36,7 @@
     last_silent: AtomicU64,
     connections: AtomicU64,
     delay_micros: AtomicU64,
+    repeating: AtomicBool,
     bytes_to_target: AtomicU64,
     cut_to_target_after: AtomicU64,
     bytes_from_target: AtomicU64,
@@ -110,6 +114,11 @@
         self.shared.delay_micros.store(micros, Ordering::SeqCst);
     }
 
+    /// Forward each short HTTP answer twice, the second copy a little later.
+    pub fn set_repeating(&self, repeating: bool) {
+        self.shared.repeating.store(repeating, Ordering::SeqCst);
+    }
+
     /// Cut every connection once `bytes` more have been sent to the target.
     pub fn cut_to_target_after(&self, bytes: u64) {
         let forwarded = self.shared.bytes_to_target.load(Ordering::SeqCst);
@@ -227,9 +236,28 @@
             cut_all(shared);
             return;
         }
+        let repeats = shared.repeating.load(Ordering::SeqCst);
+        if repeats && matches!(direction, Direction::FromTarget) && is_whole_answer(&buf[..count]) {
+            Timer::after(Duration::from_millis(REPEAT_MS)).await;
+            if to.write_all(&buf[..count]).await.is_err() {
+                return;
+            }
+        }
     }
 }
 
+/// Report whether `bytes` are one HTTP answer with its complete body.
+fn is_whole_answer(bytes: &[u8]) -> bool {
+    let Some(head) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
+        return false;
+    };
+    let text = String::from_utf8_lossy(&bytes[..head]).to_lowercase();
+    let mut headers = text.lines().filter_map(|line| line.split_once(": "));
+    let length = headers.find(|(name, _)| *name == "content-length");
+    let length = length.and_then(|(_, value)| value.parse::<usize>().ok());
+    bytes.starts_with(b"HTTP/1.1 ") && length == Some(bytes.len() - head - 4)
+}
+
 /// Wait for the delay and the end of a freeze; never return on a silent connection.
 async fn hold_back(shared: &Shared, number: u64, direction: Direction) {
     let delay = shared.delay_micros.load(Ordering::SeqCst);
