--- a/crates/mustardtiller/src/controllers/registry/reads.rs
+++ b/crates/mustardtiller/src/controllers/registry/reads.rs
@@ -83,7 +83,10 @@
     }
 
     /// Start fetching a peer's registry, read from the platform at `read_at`.
-    pub(super) fn fetch(&self, peer: SocketAddr, read_at: Instant) {
+    ///
+    /// The peer holds it as of `revision`. The snapshot itself may name an earlier one:
+    /// that of its last change.
+    pub(super) fn fetch(&self, peer: SocketAddr, revision: u64, read_at: Instant) {
         let node = Arc::clone(&self.node);
         let input_tx = self.input_tx.clone();
         self.node.spawn(async move {
@@ -96,7 +99,7 @@
             }
             let registry = snapshot.map(|snapshot| {
                 let entries = snapshot.entries.iter().map(Registration::from);
-                Registry::new(entries, snapshot.revision, read_at)
+                Registry::new(entries, snapshot.revision.max(revision), read_at)
             });
             let _ = input_tx.try_send(Input::Fetched { peer, registry });
         });
--- a/crates/mustardtiller/src/controllers/registry/updates.rs
+++ b/crates/mustardtiller/src/controllers/registry/updates.rs
@@ -63,7 +63,7 @@
         }
         if self.next_fetch.has_passed(now) {
             self.next_fetch = Deadline::in_millis(now, FETCH_HEDGE_MS);
-            self.fetch(peer, read_at);
+            self.fetch(peer, update.revision, read_at);
         }
     }
 
