--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -10,6 +10,10 @@
 use crate::Instant;
 use crate::UpstreamName;
 use crate::Version;
+use crate::spread::SpreadEffect;
+use crate::spread::SpreadEffects;
+use crate::spread::SpreadEvent;
+use crate::spread::SpreadRule;
 
 /// Number of refused versions that are remembered.
 const REMEMBERED_REFUSALS: usize = 4;
@@ -36,125 +40,6 @@
 /// Rounds of gossip of a daemon without a configuration, for one round of another.
 const UNCONFIGURED_GOSSIP: u64 = 4;
 
-/// Intervals, waits and counts of [`Spread`].
-#[derive(Clone, Copy, Debug)]
-pub struct SpreadRule {
-    /// Number of readers in each data centre: hosts that watch the platform.
-    pub readers: usize,
-    /// Number of peers to which a new version is advertised.
-    pub fanout: usize,
-    /// Interval between two rounds of gossip, in milliseconds.
-    ///
-    /// A daemon without a configuration queries its peers four times as often.
-    pub gossip_ms: u64,
-    /// Time after which one of the readers asks the platform again, in milliseconds.
-    pub watch_step_ms: u64,
-    /// Longest wait of one watch, in milliseconds.
-    pub max_watch_ms: u64,
-    /// Interval between two reads of a host that is not a reader, in milliseconds.
-    pub idle_read_ms: u64,
-    /// First wait after a failed read, in milliseconds; doubles.
-    pub retry_ms: u64,
-    /// Longest wait after a failed read, before jitter, in milliseconds.
-    pub max_retry_ms: u64,
-    /// Time over which the first reads of the fleet are spread, in milliseconds.
-    pub start_ms: u64,
-    /// Longest wait of a host that knows no other host for its first read, in milliseconds.
-    pub alone_ms: u64,
-    /// Time after which a fetch counts as failed, in milliseconds.
-    pub fetch_ms: u64,
-    /// Time that a daemon without a configuration waits for its peers, in milliseconds.
-    pub peers_ms: u64,
-}
-
-impl Default for SpreadRule {
-    fn default() -> Self {
-        Self {
-            readers: 3,
-            fanout: 3,
-            gossip_ms: 1_000,
-            watch_step_ms: 20_000,
-            max_watch_ms: 20_000,
-            idle_read_ms: 300_000,
-            retry_ms: 500,
-            max_retry_ms: 15_000,
-            start_ms: 200,
-            alone_ms: 200,
-            fetch_ms: 2_000,
-            peers_ms: 300,
-        }
-    }
-}
-
-/// An input of [`Spread::step`].
-#[derive(Clone, Copy, Debug)]
-pub enum SpreadEvent {
-    /// A deadline may have passed.
-    Tick,
-    /// A peer advertised the version that it holds.
-    PeerHas {
-        /// The peer.
-        peer: SocketAddr,
-        /// The version that it holds.
-        version: Version,
-        /// Whether it wants this daemon's version in reply.
-        wants_reply: bool,
-    },
-    /// The platform was read; it holds this version.
-    PlatformHas(Version),
-    /// The platform could not be read.
-    PlatformFailed,
-    /// The configuration of this version is now in force on this host.
-    Accepted(Version),
-    /// The configuration of this version was not accepted.
-    Refused(Version),
-    /// A configuration could not be fetched.
-    FetchFailed,
-    /// This host reads the platform at its start, for the hosts that it will know.
-    StartRead,
-    /// A peer that can't read the platform delegates its read to this host.
-    ReadRequested {
-        /// Further delegations that are allowed if this host fails too.
-        hops: u8,
-    },
-}
-
-/// An action that the daemon carries out after a step.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SpreadEffect {
-    /// Send the version held to a peer.
-    Advertise {
-        /// The peer.
-        peer: SocketAddr,
-        /// Whether the peer is to reply with its version.
-        wants_reply: bool,
-    },
-    /// Ask a peer to read the platform for a while.
-    DelegateRead {
-        /// The peer.
-        peer: SocketAddr,
-        /// Further delegations that are allowed if the peer fails too.
-        hops: u8,
-    },
-    /// Read the version that the platform holds.
-    ReadPlatform {
-        /// Until when to wait for a change (long poll); `None` to read at once.
-        wait_until: Option<Deadline>,
-    },
-    /// Fetch a configuration from a peer.
-    FetchFromPeer {
-        /// The peer.
-        peer: SocketAddr,
-        /// The version to fetch.
-        version: Version,
-    },
-    /// Fetch a configuration from the platform.
-    FetchFromPlatform {
-        /// The version to fetch.
-        version: Version,
-    },
-}
-
 /// How a host that has started gets its first configuration.
 #[derive(Clone, Copy, Debug)]
 enum StartStage {
@@ -201,9 +86,6 @@
     next_read: Deadline,
 }
 
-/// The effects of one step.
-pub type SpreadEffects = SmallVec<[SpreadEffect; 4]>;
-
 impl Spread {
     /// Create the state of a daemon that holds no configuration.
     #[must_use]
