--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -110,6 +110,31 @@
     assert_eq!(fleet.get(0, "/item").status, 200);
 }
 
+#[test]
+fn a_silent_handshake_is_counted() {
+    let fleet = single_upstream();
+    let mut socket = connect(&fleet);
+    let read = read_all(&mut socket);
+    assert!(read.is_empty(), "the gate spoke first: {read:?}");
+    assert!(fleet.metric(0, "handshakes_refused_total") >= 1.0);
+    assert!(fleet.log(0).contains("E304"));
+}
+
+#[test]
+fn a_failed_connect_is_not_a_lost_link() {
+    let fleet = Fleet::start_piped();
+    fleet.pipes[1].set_refusing(true);
+    fleet.pipes[1].cut();
+    let lost = fleet.metric(0, "links_lost_total");
+    wait_for("further attempts to connect", || {
+        fleet.metric(0, "links_failed_total") >= 3.0
+    });
+    assert!(
+        fleet.metric(0, "links_lost_total") <= lost + 1.0,
+        "an attempt counted as a lost link"
+    );
+}
+
 #[test]
 fn invalid_frames_close_only_their_link() {
     let fleet = single_upstream();
--- a/crates/mustardtiller/src/link/connector.rs
+++ b/crates/mustardtiller/src/link/connector.rs
@@ -39,7 +39,7 @@
                 run_link(&node, &candidate, link, table, reader).await;
             }
             Err(e) => {
-                node.metrics.count(CounterId::LinksLost);
+                node.metrics.count(CounterId::LinksFailed);
                 if failures == 0 {
                     Event::LinkLost.log(format_args!("{}: {e}", candidate.upstream.name));
                 }
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -88,7 +88,11 @@
             Event::HandshakeRefused.log(e);
             return;
         }
-        None => return,
+        None => {
+            node.metrics.count(CounterId::HandshakesRefused);
+            Event::HandshakeRefused.log("no handshake in time");
+            return;
+        }
     };
     let (write_queue, writer) = write_queue();
     node.spawn(writer.write_all(socket));
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -61,6 +61,7 @@
     "Measurements that failed" MeasurementsFailed = "measurements_failed",
     "Links made to other daemons" LinksMade = "links_made",
     "Links lost" LinksLost = "links_lost",
+    "Attempts to make a link that failed" LinksFailed = "links_failed",
     "Links given up for silence" LinksSilent = "links_silent",
     "Frames that made no sense" FramesMalformed = "frames_malformed",
     "Handshakes refused" HandshakesRefused = "handshakes_refused",
