--- a/crates/mustardtiller-standin/tests/planned_stop.rs
+++ b/crates/mustardtiller-standin/tests/planned_stop.rs
@@ -92,13 +92,7 @@
         assert_eq!(ready.status, 503);
         assert_eq!(ready.header("connection"), Some("close"));
     }
-    let mut child = fleet.daemons[0].take().expect("the daemon runs");
-    wait_for("the daemon to end", || {
-        child
-            .try_wait()
-            .expect("the child can be waited for")
-            .is_some()
-    });
+    fleet.wait_exit(0);
     assert_eq!(fleet.get(1, "/item").status, 200);
 }
 
--- a/crates/mustardtiller-standin/tests/stop_crossing.rs
+++ b/crates/mustardtiller-standin/tests/stop_crossing.rs
@@ -96,13 +96,7 @@
     assert!(refused > 0, "new work is refused while draining");
     assert_eq!(smol::block_on(slow).status, 200);
     let start = Instant::now();
-    let mut child = fleet.daemons[0].take().expect("the daemon runs");
-    wait_for("the daemon to end", || {
-        child
-            .try_wait()
-            .expect("the child can be waited for")
-            .is_some()
-    });
+    fleet.wait_exit(0);
     assert!(start.elapsed() < STOP_LIMIT, "{:?}", start.elapsed());
     assert!(!fleet.log(0).contains("E103"), "a request was cut");
 }
--- a/crates/mustardtiller-standin/tests/util/mod.rs
+++ b/crates/mustardtiller-standin/tests/util/mod.rs
@@ -397,6 +397,17 @@
         }
     }
 
+    /// Wait until a daemon that was asked to stop has exited.
+    pub fn wait_exit(&mut self, index: usize) {
+        let mut child = self.daemons[index].take().expect("the daemon runs");
+        wait_for("the daemon to end", || {
+            child
+                .try_wait()
+                .expect("the child can be waited for")
+                .is_some()
+        });
+    }
+
     /// Stop a daemon with SIGTERM and return its exit status.
     pub fn stop(&mut self, index: usize) -> std::process::ExitStatus {
         self.signal(index, Signal::TERM);
