--- a/crates/mustardtiller-standin/tests/late_copies.rs
+++ b/crates/mustardtiller-standin/tests/late_copies.rs
@@ -15,8 +15,10 @@
 use std::thread;
 use std::time::Duration;
 
+use mustardtiller_standin::HttpCall;
 use util::Fleet;
 use util::FleetPlan;
+use util::HOST;
 use util::wait_for;
 
 /// Whether an upstream repeats the exchange header in its answers.
@@ -108,6 +110,20 @@
     }
 }
 
+#[test]
+fn a_callers_own_exchange_header_is_replaced() {
+    // A service that forwards all headers to its own calls would send such a header.
+    let fleet = Fleet::start(FleetPlan::default());
+    fleet.wait_links(0);
+    for number in 0..20 {
+        let call = HttpCall::new("GET", HOST, "/item");
+        let call = call.header("mustardtiller-exchange", (900 + number).to_string());
+        let answer = fleet.call(0, &call);
+        assert_eq!(answer.status, 200, "{}", answer.reason());
+        assert_eq!(answer.header("mustardtiller-exchange"), None);
+    }
+}
+
 #[test]
 fn upstreams_that_repeat_the_exchange() {
     assert_own_answers(Echo::Yes);
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -34,6 +34,7 @@
 use crate::gate::GateRequest;
 use crate::gate::Permit;
 use crate::http::DeadlineForm;
+use crate::http::Dialect;
 use crate::http::Proof;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::NotRunReason;
@@ -100,7 +101,7 @@
         return GateAnswer::refused(sent.unknown(reason));
     };
     record_upstream_state(node, response.headers());
-    let head = answer_head(&response, head_only);
+    let head = answer_head(&node.dialect, &response, head_only);
     if SHED_STATUSES.contains(&head.status) {
         node.board.gate.record_completion(0, true);
     }
@@ -365,7 +366,7 @@
     }
 }
 
-fn answer_head(response: &Response<Incoming>, head_only: bool) -> AnswerHead {
+fn answer_head(dialect: &Dialect, response: &Response<Incoming>, head_only: bool) -> AnswerHead {
     let status = response.status().as_u16();
     let bodiless = head_only || BODILESS_STATUSES.contains(&status);
     let length = if bodiless {
@@ -374,7 +375,10 @@
     } else {
         response.body().size_hint().exact()
     };
-    let headers = end_to_end_headers(response.headers());
+    let mut headers = end_to_end_headers(response.headers());
+    if let Proof::Connection { exchange } = dialect.proof {
+        headers.retain(|header| header.name != exchange);
+    }
     AnswerHead {
         status,
         headers,
