--- a/crates/mustardtiller/src/controllers/registry/reads.rs
+++ b/crates/mustardtiller/src/controllers/registry/reads.rs
@@ -93,7 +93,10 @@
             node.metrics.count(CounterId::PeerFetches);
             let deadline = Deadline::in_millis(node.clock.now(), FETCH_TIMEOUT_MS);
             let fetched = contained(fetch_registry(&node, peer, deadline)).await;
-            let snapshot = fetched.ok().flatten();
+            let snapshot = fetched.unwrap_or_else(|cause| {
+                Event::TaskPanicked.log(cause);
+                None
+            });
             if snapshot.is_none() {
                 node.metrics.count(CounterId::PeerFetchesFailed);
             }
