--- a/review/kit/standin.py
+++ b/review/kit/standin.py
@@ -57,6 +57,11 @@
 ]
 
 HEARTBEAT_S = 1.5
+
+# Size of the answers to paths with "/big/": more than a daemon holds before it passes an answer on.
+BIG_ANSWER_BYTES = 5_000_000
+BIG_ANSWER = b"." * BIG_ANSWER_BYTES
+
 STORE_ANSWER_S = 0.004
 
 
@@ -309,8 +314,11 @@
                 self.running -= 1
 
     def run(self, handler, identity, echo, body):
-        time.sleep(self.work_s)
+        big = "/big/" in handler.path
+        time.sleep(0 if big else self.work_s)
         answer = f"{self.name} ran {identity}\n".encode()
+        if big:
+            answer += BIG_ANSWER[len(answer) :]
         stamp = [("Server-Stamp", f"{self.name}.{identity}"), ("Server-Load", self.load())]
         handler.reply(200, [*echo, *stamp], answer)
 
@@ -374,7 +382,7 @@
             "service": self.service,
             "app_addr": f"{self.ip}:{PORT_APP}",
             "bounds": BOUNDS,
-            "limits": {"cores": 1},
+            "limits": {"cores": self.case.cores},
             "listen": {
                 "inbound": f"{self.ip}:{PORT_INBOUND}",
                 "outbound": f"{self.ip}:{PORT_OUTBOUND}",
@@ -436,7 +444,7 @@
 class Case:
     """A small deployment, its record, and the end of everything that was started."""
 
-    def __init__(self, folder, layout, services):
+    def __init__(self, folder, layout, services, cores):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -448,6 +456,7 @@
             raise CouldNotRun("the daemon is not built")
         self.store = Store(self.record)
         self.services = services
+        self.cores = cores
         self.machines = [Machine(self, i, zone, svc) for i, (zone, svc) in enumerate(layout)]
         self.arrivals = []
         self.answers = {}
@@ -567,12 +576,12 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(folder, layout, services, scene):
+def play(folder, layout, services, scene, cores=1):
     """Play a case and exit with its verdict: 0 if the rule held, 1 if not, 2 if it could not run."""
     case = None
     verdict = COULD_NOT_RUN
     try:
-        case = Case(folder, layout, services)
+        case = Case(folder, layout, services, cores)
         broken = scene(case)
         verdict = BROKEN if broken else HELD
         case.record.note(f"verdict: {'broken' if broken else 'held'}: {broken[:3] if broken else ''}")
