--- a/review/kit/standin.py
+++ b/review/kit/standin.py
@@ -580,6 +580,8 @@
     """Play a case and exit with its verdict: 0 if the rule held, 1 if not, 2 if it could not run."""
     case = None
     verdict = COULD_NOT_RUN
+    # A run that is ended from outside ends its daemons too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit())
     try:
         case = Case(folder, layout, services, cores)
         broken = scene(case)
