refactor(gate): split the gate's state by job

Change: a folder with one file a job. The functions move unchanged; one becomes visible to its siblings.

--- /dev/null
+++ b/crates/mustardtiller/src/board/gate/report.rs
@@ -0,0 +1,75 @@
+//! What the gate reports: to its admission, and to entries.
+
+use std::sync::atomic::Ordering;
+
+use super::GateState;
+use super::times::kind_index;
+use mustardtiller_core::Forecast;
+use mustardtiller_core::Instant;
+use mustardtiller_wire::LoadReport;
+
+impl GateState {
+    /// Return the inputs of the admission decision for a request of a kind.
+    #[must_use]
+    pub fn forecast(&self, kind_digest: u32, now: Instant) -> Forecast {
+        let mean_micros = self.mean_micros.load(Ordering::Relaxed);
+        let service_micros =
+            match self.service_micros[kind_index(kind_digest)].load(Ordering::Relaxed) {
+                0 => mean_micros,
+                known => known,
+            };
+        Forecast {
+            now,
+            running: self.in_flight(),
+            waiting: self.waiting(),
+            limit: self.limit(),
+            slots: self.slots.load(Ordering::SeqCst),
+            service_micros: u64::from(service_micros),
+            mean_micros: u64::from(mean_micros),
+            slowdown: self.slowdown.at(now),
+            starts: self.start_schedule(),
+        }
+    }
+
+    /// Start the cold-start ramp of the upstream, from `from` to `until`.
+    pub fn warm_up(&self, from: Instant, until: Instant) {
+        self.ramp_start.store(from.as_micros(), Ordering::Relaxed);
+        self.ramp_end.store(until.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Return the load report for entries.
+    ///
+    /// `closing` is whether the daemon itself is leaving.
+    #[must_use]
+    pub fn load_report(&self, now: Instant, closing: bool) -> LoadReport {
+        LoadReport {
+            in_flight: self.in_flight() + self.waiting(),
+            limit: self.limit(),
+            ramp_milli: self.ramp_milli(now),
+            work_percent: self.slowdown.percent(now).min(u32::from(u16::MAX)) as u16,
+            leaving: closing || self.is_leaving() || self.is_down(),
+            announced_leaving: self.announced_leaving(),
+            start_milli: self.start_milli.load(Ordering::SeqCst),
+            start_wait_ms: self.start_wait_ms(now),
+        }
+    }
+
+    /// Return the time until another request could start by the named rate, in
+    /// milliseconds, rounded up.
+    fn start_wait_ms(&self, now: Instant) -> u32 {
+        let next = self
+            .start_schedule()
+            .map(|starts| starts.next_start(self.waiting(), now));
+        let micros = next.map_or(0, |next| next.micros_since(now));
+        u32::try_from(micros.div_ceil(1_000)).unwrap_or(u32::MAX)
+    }
+
+    /// Return the share of full load allowed during a cold start, in thousandths.
+    fn ramp_milli(&self, now: Instant) -> u16 {
+        let start = self.ramp_start.load(Ordering::Relaxed);
+        let end = self.ramp_end.load(Ordering::Relaxed);
+        let elapsed = now.as_micros().saturating_sub(start);
+        let ramp_length = end.saturating_sub(start).max(1);
+        (elapsed * 1_000 / ramp_length).clamp(100, 1_000) as u16
+    }
+}
