--- a/crates/mustardtiller/src/board/gate/mod.rs
+++ b/crates/mustardtiller/src/board/gate/mod.rs
@@ -12,15 +12,15 @@
 
 use event_listener::Event;
 
-use self::times::AtomicBandTimes;
-use self::times::INITIAL_SERVICE_MICROS;
-use self::times::KIND_BUCKETS;
 use crate::board::CallerTable;
 use crate::board::SlowdownState;
 use crate::board::Snapshot;
+use crate::board::gate::times::AtomicBandTimes;
+use crate::board::gate::times::INITIAL_SERVICE_MICROS;
+use crate::board::gate::times::KIND_BUCKETS;
 use mustardtiller_core::Instant;
 
-pub use self::times::StartConditions;
+pub use times::StartConditions;
 
 /// The load and availability of the upstream beside this daemon.
 ///
