feat(admit): the temperature of an upstream, and starts that use up the schedule

Cause: a cold upstream crashes well above the rate that it bears, and it may become cold at any moment, also while requests arrive at several times that rate.

Change: ColdReading says whether the last reading still shows that an upstream is warm, by its age and the starts since; StartSchedule counts starts also while its rate doesn't hold, so that nothing is saved up for the instant at which it does.

--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -1,5 +1,6 @@
 //! Admission control at a gate: concurrency limit, wait queue and forecast.
 
+mod cold;
 mod forecast;
 mod idle_callers;
 mod knee;
@@ -8,6 +9,9 @@
 mod slowdown;
 mod start_rate;
 
+pub use cold::ColdReading;
+pub use cold::ColdStart;
+pub use cold::Temperature;
 pub use forecast::Admission;
 pub use forecast::AdmissionRequest;
 pub use forecast::Forecast;
--- a/crates/mustardtiller-core/src/admit/start_rate.rs
+++ b/crates/mustardtiller-core/src/admit/start_rate.rs
@@ -1,4 +1,4 @@
-//! The rate at which an upstream takes requests, as it names it in its answers.
+//! The rate at which an upstream takes requests: named in its answers, or that of a cold one.
 
 use crate::Instant;
 
@@ -59,6 +59,17 @@
         self.milli_per_s
     }
 
+    /// Return the lower of two rates, either of which may be absent.
+    #[must_use]
+    pub fn lower(one: Option<Self>, other: Option<Self>) -> Option<Self> {
+        match (one, other) {
+            (Some(one), Some(other)) => {
+                Some(Self::from_milli(one.milli_per_s.min(other.milli_per_s)))
+            }
+            (one, other) => one.or(other),
+        }
+    }
+
     /// Return the time between two starts, in microseconds.
     #[must_use]
     pub const fn interval_micros(self) -> u64 {
@@ -66,20 +77,20 @@
     }
 }
 
-/// When an upstream that named a rate may start its next requests.
+/// When an upstream whose starts are limited may start its next requests.
 ///
-/// The load that this answers: an upstream in need that all hosts would send its usual
-/// share. One gate counts for all of them, so nothing is shared or sent.
+/// The load that this answers: an upstream in need, or a cold one, that all hosts would
+/// send its usual share. One gate counts for all of them, so nothing is shared or sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StartSchedule {
-    /// The rate that the upstream named.
+    /// The rate of starts.
     pub rate: StartRate,
     /// When the next request would start if none had been kept waiting.
     pub due: Instant,
 }
 
 impl StartSchedule {
-    /// Begin at the answer that named the rate: no start was kept until then.
+    /// Begin at the instant from which the rate holds: no start was kept until then.
     #[must_use]
     pub const fn begin(rate: StartRate, now: Instant) -> Self {
         Self {
@@ -105,4 +116,16 @@
         let due = self.due.max(now).plus_micros(self.rate.interval_micros());
         Some(Self { due, ..self })
     }
+
+    /// Return the schedule after a request that started although the rate doesn't hold now.
+    ///
+    /// It uses up a kept start, so that none is saved for the instant from which the
+    /// rate holds. Its debt stays within one start.
+    #[must_use]
+    pub fn started_unlimited(self, now: Instant) -> Self {
+        let interval = self.rate.interval_micros();
+        let next = self.due.max(now).plus_micros(interval);
+        let due = next.min(now.plus_micros(KEPT_MICROS + interval));
+        Self { due, ..self }
+    }
 }
