refactor(entry): divide dispatch by job

Routing and the outcome stay in dispatch; offers, bound calls and waits for links have files of their own.

--- a/crates/mustardtiller/src/entry/mod.rs
+++ b/crates/mustardtiller/src/entry/mod.rs
@@ -1,9 +1,12 @@
 //! The entry: accepts calls, chooses upstreams and reports the outcome of each call.
 
 mod attempt;
+mod bound;
 mod call;
 mod dispatch;
 mod hedge;
+mod link_wait;
+mod offers;
 mod pick;
 mod race;
 mod token;
--- /dev/null
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -0,0 +1,237 @@
+//! The offers of a call to gates: candidates, retries and the final refusal.
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use crate::board::Candidate;
+use crate::board::ServiceRoutes;
+use crate::entry::attempt::AttemptCx;
+use crate::entry::call::Answer;
+use crate::entry::call::Call;
+use crate::entry::call::CallBody;
+use crate::entry::hedge::hedged;
+use crate::entry::link_wait::wait_for_any_link;
+use crate::entry::pick::FarPrice;
+use crate::entry::pick::pick;
+use crate::entry::trace::Trace;
+use mustardtiller_core::Attempt;
+use mustardtiller_core::Availability;
+use mustardtiller_core::Instant;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::OfferRule;
+use mustardtiller_core::Offers;
+use mustardtiller_core::Policy;
+use mustardtiller_core::QueueMode;
+use mustardtiller_core::Refusal;
+use mustardtiller_core::RetryContext;
+use mustardtiller_core::RetryReason;
+use mustardtiller_core::UnknownReason;
+use mustardtiller_core::UpstreamName;
+use mustardtiller_core::reached_upstream;
+use mustardtiller_core::retry_reason;
+
+/// Offers of a call with discovery, where gates forecast waiting times.
+const FORECAST_OFFERS: OfferRule = OfferRule {
+    immediate: 4,
+    queued: 2,
+};
+
+/// Candidates sampled for one offer with discovery.
+const FORECAST_DRAWS: usize = 6;
+
+/// Cross-data centre price from which a call gets only queued offers, in microseconds.
+const EXPENSIVE_PLACE_MICROS: u32 = 50_000;
+
+/// Upstreams that a call was offered to, and the refusals.
+#[derive(Debug, Default)]
+struct OfferHistory {
+    /// Upstreams that refused an immediate offer; they may get a queued one.
+    busy: SmallVec<[UpstreamName; 4]>,
+    /// Upstreams that get no further offer of this call.
+    exhausted: SmallVec<[UpstreamName; 4]>,
+    /// Attempts that reached an upstream or may have reached one.
+    reached_attempts: u32,
+    /// Most recent refusal.
+    last_refusal: Option<Refusal>,
+    /// Why the outcome is unknown, if an attempt may have run.
+    unknown: Option<UnknownReason>,
+}
+
+impl OfferHistory {
+    /// Return the upstreams to skip for the next offer.
+    fn excluded(&self, queue_mode: QueueMode) -> SmallVec<[UpstreamName; 4]> {
+        let mut names = self.exhausted.clone();
+        if queue_mode == QueueMode::None {
+            names.extend(self.busy.iter().cloned());
+        }
+        names
+    }
+
+    fn record_refusal(&mut self, name: &UpstreamName, queue_mode: QueueMode, refusal: Refusal) {
+        self.last_refusal = Some(refusal);
+        self.unknown = self.unknown.or(refusal.unknown());
+        if reached_upstream(refusal) {
+            self.reached_attempts += 1;
+        }
+        if queue_mode == QueueMode::None && !reached_upstream(refusal) {
+            self.busy.push(name.clone());
+        } else {
+            self.exhausted.push(name.clone());
+        }
+    }
+}
+
+/// Run a call on any upstream, with retries if safe and within budget.
+pub async fn run_without_token(
+    mut cx: AttemptCx<'_>,
+    service: &ServiceRoutes,
+    call: &mut Call,
+    trace: &mut Trace,
+) -> Result<Answer, Refusal> {
+    let price = FarPrice::of(cx.node, call);
+    let mut offers = Offers::new(offer_rule(cx, call, price));
+    let mut history = OfferHistory::default();
+    // A call that stems from a retry earns no budget; otherwise retries at one depth
+    // would pay for retries at the next.
+    if !call.outer_retry {
+        service.retries.earn(service.retry_percent);
+        service.hedges.earn(cx.kind.hedge_percent);
+    }
+    while let Some(queue_mode) = offers.next() {
+        cx.queue_mode = queue_mode;
+        let Some(candidate) = next_candidate(cx, service, &history, price).await else {
+            if queue_mode == QueueMode::Queue {
+                break;
+            }
+            offers.skip_immediate();
+            continue;
+        };
+        let offer = trace.record_offer(cx, &candidate);
+        let refusal = match hedged(cx, service, &candidate, call).await {
+            Ok(answer) => return Ok(answer),
+            Err(e) => e.refusal(),
+        };
+        trace.record_refusal(offer, refusal);
+        offers.record_refusal(queue_mode);
+        history.record_refusal(&candidate.upstream.name, queue_mode, refusal);
+        let Some(reason) = reason_to_retry(cx, service, call, &history, refusal) else {
+            trace.note_return(earliest_start(service, cx.node.clock.now()));
+            return Err(refusal.after(history.unknown));
+        };
+        cx.node.metrics.count_retry(reason);
+        cx.retried |= reached_upstream(refusal);
+    }
+    trace.note_return(earliest_start(service, cx.node.clock.now()));
+    let no_upstream = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
+    Err(history
+        .last_refusal
+        .unwrap_or_else(no_upstream)
+        .after(history.unknown))
+}
+
+/// Return when the first upstream of a service takes another request.
+///
+/// Returns `None` unless the rates that they named keep all of them from it now.
+fn earliest_start(service: &ServiceRoutes, now: Instant) -> Option<Instant> {
+    let live = service
+        .candidates
+        .iter()
+        .filter(|candidate| candidate.sample(now).availability == Availability::Live);
+    let starts: Option<SmallVec<[Instant; 16]>> = live
+        .map(|candidate| candidate.signals.next_start(now))
+        .collect();
+    starts?.into_iter().min()
+}
+
+fn offer_rule(cx: AttemptCx<'_>, call: &Call, price: FarPrice) -> OfferRule {
+    if cx.node.settings.discovery.is_none() {
+        return OfferRule {
+            immediate: 0,
+            queued: cx.kind.attempts,
+        };
+    }
+    // A call whose body is expensive to move queues at a nearby gate instead of looking
+    // for a free slot in other data centres. A streamed body can be sent only once, so its
+    // call gets a single offer.
+    match call.body {
+        CallBody::Streamed { .. } => OfferRule {
+            immediate: 0,
+            queued: 1,
+        },
+        CallBody::Buffered(_) if price.micros >= EXPENSIVE_PLACE_MICROS => OfferRule {
+            immediate: 0,
+            ..FORECAST_OFFERS
+        },
+        CallBody::Buffered(_) => FORECAST_OFFERS,
+    }
+}
+
+/// Return the reason to retry a refused call, or `None` if it is final.
+fn reason_to_retry(
+    cx: AttemptCx<'_>,
+    service: &ServiceRoutes,
+    call: &Call,
+    history: &OfferHistory,
+    refusal: Refusal,
+) -> Option<RetryReason> {
+    let has_forecasts = cx.node.settings.discovery.is_some();
+    let attempts = if has_forecasts {
+        history.reached_attempts
+    } else {
+        (history.exhausted.len() + history.busy.len()) as u32
+    };
+    let context = RetryContext {
+        idempotent: cx.kind.idempotent,
+        replayable: matches!(call.body, CallBody::Buffered(_)),
+        bound: false,
+        outer_retry: call.outer_retry,
+        attempts,
+        max_attempts: cx.kind.attempts,
+    };
+    let unbudgeted = has_forecasts && !reached_upstream(refusal);
+    retry_reason(refusal, context).filter(|_| unbudgeted || service.retries.try_spend())
+}
+
+async fn next_candidate(
+    cx: AttemptCx<'_>,
+    service: &ServiceRoutes,
+    history: &OfferHistory,
+    price: FarPrice,
+) -> Option<Arc<Candidate>> {
+    let default_policy = Policy::default();
+    let draws = match cx.node.settings.discovery {
+        // More draws can make entries herd on one upstream. Gates that forecast refuse
+        // the excess, so more candidates may be sampled.
+        Some(_) => FORECAST_DRAWS,
+        None => default_policy.draws,
+    };
+    let policy = Policy {
+        weigh: cx.kind.weigh,
+        draws,
+        ..default_policy
+    };
+    let excluded = history.excluded(cx.queue_mode);
+    let draw = || {
+        let now = cx.node.clock.now();
+        let rng = &mut cx.node.rng();
+        pick(
+            &service.candidates,
+            &excluded,
+            cx.queue_mode,
+            &policy,
+            price,
+            now,
+            rng,
+        )
+        .cloned()
+    };
+    if let Some(candidate) = draw() {
+        return Some(candidate);
+    }
+    if history.last_refusal.is_some() {
+        return None;
+    }
+    wait_for_any_link(cx, service).await;
+    draw()
+}
