--- a/crates/mustardtiller-standin/tests/util/mod.rs
+++ b/crates/mustardtiller-standin/tests/util/mod.rs
@@ -2,6 +2,8 @@
 
 #![expect(dead_code, reason = "each test file uses its own part of the module")]
 
+pub mod crowd;
+
 use std::fmt::Write as _;
 use std::fs;
 use std::net::Ipv4Addr;
