feat(gate): cap the starts of a cold upstream

Change: Service::cold states the length of a cold start and the rate that a cold upstream bears; the document's fields are translated. The gate reads the time for which its upstream stays cold from health answers, counts it as cold while it doesn't know, and keeps the lower of the cold and the named rate with one schedule. A start whose connection took long is asked for again; a gate without a configuration refuses. Events E411 and E412, gauge upstream_cold. The artefact has format 3.

--- a/crates/mustardtiller-config/src/artefact/build.rs
+++ b/crates/mustardtiller-config/src/artefact/build.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use super::parts::CallerEntry;
+use super::parts::ColdEntry;
 use super::parts::DataCentreEntry;
 use super::parts::FORMAT;
 use super::parts::FleetPart;
@@ -143,6 +144,10 @@
         eject_percent: service.eject_percent,
         discovered: service.discovered,
         health_path: service.health_path.to_string(),
+        cold: service.cold.map(|cold| ColdEntry {
+            length_ms: cold.length_ms,
+            milli_per_s: cold.rate.as_milli(),
+        }),
         kinds: service.kinds.iter().map(|kind| kind_entry(kind)).collect(),
         upstreams: service
             .upstreams
--- a/crates/mustardtiller-config/src/artefact/parts.rs
+++ b/crates/mustardtiller-config/src/artefact/parts.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// Version of the encoding that this program writes and reads.
-pub const FORMAT: u16 = 2;
+pub const FORMAT: u16 = 3;
 
 /// Manifest of one revision: the digests of all its parts.
 #[derive(Clone, Debug, PartialEq)]
@@ -136,12 +136,24 @@
     pub discovered: bool,
     /// Path of its upstreams' health endpoint.
     pub health_path: String,
+    /// How its upstreams bear a cold start, if the operators state it.
+    pub cold: Option<ColdEntry>,
     /// The kinds of request it takes.
     pub kinds: Vec<KindEntry>,
     /// The upstreams.
     pub upstreams: Vec<UpstreamEntry>,
 }
 
+/// How upstreams bear a cold start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ColdEntry {
+    /// Length of a cold start, in milliseconds.
+    pub length_ms: u64,
+    /// Rate of requests that a cold upstream bears, in thousandths per second.
+    pub milli_per_s: u32,
+}
+
 /// Encoded form of a kind's token rule.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/mustardtiller-config/src/artefact/read.rs
+++ b/crates/mustardtiller-config/src/artefact/read.rs
@@ -29,10 +29,12 @@
 use crate::TokenRule;
 use crate::Upstream;
 use crate::digest_of;
+use mustardtiller_core::ColdStart;
 use mustardtiller_core::DataCentreName;
 use mustardtiller_core::Digest;
 use mustardtiller_core::Preference;
 use mustardtiller_core::ServiceName;
+use mustardtiller_core::StartRate;
 use mustardtiller_core::Version;
 
 /// A manifest and those of its parts that are held.
@@ -308,6 +310,10 @@
         eject_percent: part.eject_percent,
         discovered: part.discovered,
         health_path: Arc::from(part.health_path.as_str()),
+        cold: part.cold.map(|cold| ColdStart {
+            length_ms: cold.length_ms,
+            rate: StartRate::from_milli(cold.milli_per_s),
+        }),
         kinds: part
             .kinds
             .iter()
--- a/crates/mustardtiller-config/src/model/types.rs
+++ b/crates/mustardtiller-config/src/model/types.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use mustardtiller_core::CallerName;
+use mustardtiller_core::ColdStart;
 use mustardtiller_core::DataCentreName;
 use mustardtiller_core::KindName;
 use mustardtiller_core::Preference;
@@ -122,6 +123,8 @@
     pub discovered: bool,
     /// Path of its upstreams' health endpoint.
     pub health_path: Arc<str>,
+    /// How its upstreams bear a cold start; `None` if starts are not limited then.
+    pub cold: Option<ColdStart>,
     /// The kinds of request, longest path prefix first.
     pub kinds: Vec<Arc<Kind>>,
     /// The upstreams.
--- a/crates/mustardtiller-config/src/objects/parse.rs
+++ b/crates/mustardtiller-config/src/objects/parse.rs
@@ -16,7 +16,9 @@
 use crate::Service;
 use crate::TokenRule;
 use crate::Upstream;
+use mustardtiller_core::ColdStart;
 use mustardtiller_core::Preference;
+use mustardtiller_core::StartRate;
 
 /// Values of the key `weigh`.
 const WEIGH: &[(&str, Preference)] =
@@ -41,6 +43,15 @@
 /// Largest one-way delay or price of a path, in microseconds.
 const MAX_PATH_MICROS: u64 = 10_000_000;
 
+/// Longest cold start of an upstream, in milliseconds.
+const MAX_COLD_START_MS: u64 = 600_000;
+
+/// Highest rate that a cold upstream may be stated to bear, in requests per second.
+const MAX_COLD_PER_S: u64 = 1_000_000;
+
+/// Thousandths in one.
+const MILLI: u32 = 1_000;
+
 /// A kind or an upstream, with the service that it refers to.
 #[derive(Debug)]
 pub struct Member<T> {
@@ -105,7 +116,7 @@
     if hosts.is_empty() {
         hosts.push(Arc::from(section.name.as_str()));
     }
-    let service = Service {
+    let mut service = Service {
         name: section.name.as_str().into(),
         hosts,
         weigh: fields.choice_or("weigh", Preference::Latency, WEIGH),
@@ -115,13 +126,40 @@
         eject_percent: fields.number_or("eject_percent", 34, 0..=90) as u32,
         discovered: fields.flag_or("discovered", false),
         health_path: Arc::from(fields.text_opt("health_path").unwrap_or("/health")),
+        cold: None,
         kinds: Vec::new(),
         upstreams: Vec::new(),
     };
+    service.cold = read_cold(&mut fields, service.discovered);
     fields.finish();
     service
 }
 
+/// Read how upstreams bear a cold start; both keys are given, or neither.
+fn read_cold(fields: &mut Fields<'_>, discovered: bool) -> Option<ColdStart> {
+    let is_set = |fields: &mut Fields<'_>, key| fields.text_opt(key).is_some();
+    let (has_length, has_rate) = (
+        is_set(fields, "cold_start_ms"),
+        is_set(fields, "cold_per_s"),
+    );
+    if !has_length && !has_rate {
+        return None;
+    }
+    let length_ms = fields.number("cold_start_ms", 1..=MAX_COLD_START_MS);
+    let per_s = fields.number("cold_per_s", 1..=MAX_COLD_PER_S);
+    if !discovered {
+        fields.add_at(
+            "cold_per_s",
+            "only upstreams that register themselves are asked whether they are cold",
+            "set `discovered = yes`, or leave out both keys",
+        );
+    }
+    Some(ColdStart {
+        length_ms: length_ms?,
+        rate: StartRate::from_milli(per_s? as u32 * MILLI),
+    })
+}
+
 pub fn kind(section: &Section, faults: &mut Vec<Fault>) -> Option<Member<Kind>> {
     let mut fields = Fields::new(section, faults);
     let service = fields.name("service", "service");
--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -26,7 +26,8 @@
 /// Why a request is retried.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum RetryReason {
-    /// No link to the chosen upstream's daemon, or the daemon serves another upstream.
+    /// No link to the chosen upstream's daemon, or the daemon serves another upstream, or
+    /// has no configuration yet.
     Unreachable,
     /// The upstream is leaving.
     Leaving,
@@ -96,7 +97,9 @@
 
 const fn not_run_retry(reason: NotRunReason) -> Option<RetryReason> {
     match reason {
-        NotRunReason::Unreachable | NotRunReason::WrongUpstream => Some(RetryReason::Unreachable),
+        NotRunReason::Unreachable | NotRunReason::WrongUpstream | NotRunReason::NoConfiguration => {
+            Some(RetryReason::Unreachable)
+        }
         NotRunReason::Leaving => Some(RetryReason::Leaving),
         NotRunReason::LinkFull
         | NotRunReason::QueueFull
@@ -115,7 +118,6 @@
         | NotRunReason::TokenVoid
         | NotRunReason::BadRequest
         | NotRunReason::BodyCut
-        | NotRunReason::NoConfiguration
         | NotRunReason::BodyTooLarge
         | NotRunReason::TokenNeeded
         | NotRunReason::EntryFull => None,
--- a/crates/mustardtiller/src/board/gate/mod.rs
+++ b/crates/mustardtiller/src/board/gate/mod.rs
@@ -1,6 +1,7 @@
 //! The gate's state: the load of the upstream beside this daemon.
 
 mod availability;
+mod cold;
 mod report;
 mod starts;
 mod times;
@@ -20,6 +21,8 @@
 use crate::board::gate::times::KIND_BUCKETS;
 use mustardtiller_core::Instant;
 
+pub use cold::ColdState;
+pub use cold::ReadingStart;
 pub use times::StartConditions;
 
 /// The load and availability of the upstream beside this daemon.
@@ -34,11 +37,13 @@
     pub callers: Snapshot<CallerTable>,
     /// The upstream's last known slowdown.
     pub slowdown: SlowdownState,
+    /// What is known of the upstream's temperature.
+    pub cold: ColdState,
     /// Notified when the upstream starts or stops accepting new requests.
     pub availability: Event,
     /// Rate that the upstream named, in thousandths per second; zero if it named none.
     start_milli: AtomicU32,
-    /// When the next request is due by that rate, in microseconds.
+    /// When the next request is due by the rate in force, in microseconds.
     start_due: AtomicU64,
     /// Whether an answer has said since the process began whether there is a rate.
     heard_rate: AtomicBool,
@@ -76,6 +81,7 @@
         Self {
             callers: Snapshot::new(CallerTable::default()),
             slowdown: SlowdownState::default(),
+            cold: ColdState::default(),
             availability: Event::new(),
             start_milli: AtomicU32::new(0),
             start_due: AtomicU64::new(0),
--- a/crates/mustardtiller/src/board/gate/report.rs
+++ b/crates/mustardtiller/src/board/gate/report.rs
@@ -6,6 +6,7 @@
 use super::times::kind_index;
 use mustardtiller_core::Forecast;
 use mustardtiller_core::Instant;
+use mustardtiller_core::StartSchedule;
 use mustardtiller_wire::LoadReport;
 
 impl GateState {
@@ -27,7 +28,7 @@
             service_micros: u64::from(service_micros),
             mean_micros: u64::from(mean_micros),
             slowdown: self.slowdown.at(now),
-            starts: self.start_schedule(),
+            starts: self.start_schedule(now),
         }
     }
 
@@ -42,6 +43,7 @@
     /// `closing` is whether the daemon itself is leaving.
     #[must_use]
     pub fn load_report(&self, now: Instant, closing: bool) -> LoadReport {
+        let starts = self.reported_schedule(now);
         LoadReport {
             in_flight: self.in_flight() + self.waiting(),
             limit: self.limit(),
@@ -49,17 +51,15 @@
             work_percent: self.slowdown.percent(now).min(u32::from(u16::MAX)) as u16,
             leaving: closing || self.is_leaving() || self.is_down(),
             announced_leaving: self.announced_leaving(),
-            start_milli: self.start_milli.load(Ordering::SeqCst),
-            start_wait_ms: self.start_wait_ms(now),
+            start_milli: starts.map_or(0, |starts| starts.rate.as_milli()),
+            start_wait_ms: self.start_wait_ms(starts, now),
         }
     }
 
-    /// Return the time until another request could start by the named rate, in
+    /// Return the time until another request could start by the schedule, in
     /// milliseconds, rounded up.
-    fn start_wait_ms(&self, now: Instant) -> u32 {
-        let next = self
-            .start_schedule()
-            .map(|starts| starts.next_start(self.waiting(), now));
+    fn start_wait_ms(&self, starts: Option<StartSchedule>, now: Instant) -> u32 {
+        let next = starts.map(|starts| starts.next_start(self.waiting(), now));
         let micros = next.map_or(0, |next| next.micros_since(now));
         u32::try_from(micros.div_ceil(1_000)).unwrap_or(u32::MAX)
     }
--- a/crates/mustardtiller/src/controllers/local.rs
+++ b/crates/mustardtiller/src/controllers/local.rs
@@ -10,6 +10,8 @@
 use crate::metrics::CounterId;
 use crate::settings::DiscoverySettings;
 use crate::upstream::ProbeReport;
+use crate::upstream::doubt_temperature;
+use crate::upstream::note_temperature;
 use crate::upstream::probe;
 use mustardtiller_config::Upstream;
 use mustardtiller_core::RegistrationState;
@@ -32,20 +34,42 @@
     let Some(discovery) = node.settings.discovery.clone() else {
         return;
     };
+    let rule = follow_cold_rule(&node, &discovery);
+    future::or(watch_upstream(&node, &discovery), rule).await;
+}
+
+/// Keep what operators state about a cold start of this service on the board.
+async fn follow_cold_rule(node: &Node, discovery: &DiscoverySettings) {
+    loop {
+        let changed = node.board.configuration.listen();
+        let configuration = node.board.configuration.share();
+        if let Some(configuration) = configuration.as_ref() {
+            let service = configuration.service(&discovery.service);
+            let rule = service.and_then(|service| service.cold);
+            node.board.gate.set_cold_rule(rule, node.clock.now());
+        }
+        changed.await;
+    }
+}
+
+/// Probe the upstream whenever it may be gone or replaced, until the daemon drains.
+async fn watch_upstream(node: &Arc<Node>, discovery: &DiscoverySettings) {
     let mut failures = 0;
     while node.board.phase.read() < Phase::Draining {
         let recheck = node.board.recheck_local.listen();
         let registered = node.board.registry.listen();
-        update_leaving(&node, &discovery);
+        update_leaving(node, discovery);
         node.metrics.count(CounterId::Measurements);
-        match probe(&node, &discovery).await {
+        match probe(node, discovery).await {
             Ok(probed) => {
                 failures = 0;
-                apply_probe(&node, &discovery, &probed);
+                apply_probe(node, discovery, &probed);
+                note_temperature(node, probed.begun, probed.cold_ms);
             }
             Err(cause) => {
                 node.metrics.count(CounterId::MeasurementsFailed);
                 failures += 1;
+                doubt_temperature(node);
                 if failures == DOWN_AFTER_FAILURES && !node.board.gate.set_down(true) {
                     Event::UpstreamDown.log(cause);
                 }
@@ -53,7 +77,7 @@
                 continue;
             }
         }
-        wait_for_change(&node, &discovery, recheck, registered).await;
+        wait_for_change(node, discovery, recheck, registered).await;
         node.clock.sleep_millis(MIN_INTERVAL_MS).await;
     }
 }
@@ -102,7 +126,11 @@
         }
     };
     if let Some(entry) = registry.get(local.name.as_str()) {
-        node.board.gate.set_registered();
+        let gate = &node.board.gate;
+        gate.set_registered();
+        let now = node.clock.now();
+        gate.cold
+            .note_registration(entry.started_ms, entry.cold, now);
         if node.board.gate.end_announcement(entry.started_ms) {
             node.log_leaving(false, "it has started again");
         }
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -119,6 +119,10 @@
     StartRateNamed = 409 Info "upstream named a request rate",
     /// The upstream takes requests without a limit again.
     StartRateEnded = 410 Info "upstream names no request rate",
+    /// The upstream says that it is cold; its gate keeps to the rate that it bears.
+    UpstreamCold = 411 Info "upstream cold",
+    /// The upstream says that it is warm again.
+    UpstreamWarm = 412 Info "upstream warm",
     /// A caller's request was malformed.
     RequestMalformed = 500 Info "request malformed",
     /// A call ended without the upstream's answer.
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -117,6 +117,7 @@
     /// Returns the reason if the request is refused.
     pub async fn admit(&self, node: &Arc<Node>, req: &GateRequest) -> Result<Permit, NotRunReason> {
         let gate = &node.board.gate;
+        node.load_probes.read_temperature(node).await;
         let mut limit = check_fast_path(node, req)?;
         if limit.is_some() && node.load_probes.needs_refresh(node) {
             node.load_probes.refresh(node).await;
@@ -254,7 +255,7 @@
     }
 }
 
-/// Return when the rate that the upstream named allows the next waiting request.
+/// Return when the rate in force allows the next waiting request.
 ///
 /// Returns `None` if it allows one now: then a slot is awaited, not a time.
 fn next_start(node: &Node, queue: &WaitQueue<WaiterHandle>) -> Option<Deadline> {
@@ -262,7 +263,7 @@
         return None;
     }
     let now = node.clock.now();
-    let next = node.board.gate.start_schedule()?.next_start(0, now);
+    let next = node.board.gate.start_schedule(now)?.next_start(0, now);
     (next > now).then_some(Deadline::at(next))
 }
 
--- a/crates/mustardtiller/src/gate/load_probes.rs
+++ b/crates/mustardtiller/src/gate/load_probes.rs
@@ -16,6 +16,7 @@
 use crate::upstream::LoadProbe;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::MeasurementBudget;
+use mustardtiller_core::Temperature;
 
 /// Age above which the slowdown is read again before a request starts, in microseconds.
 ///
@@ -34,6 +35,12 @@
 /// Pause after a probe that failed or returned no load, in milliseconds.
 const FAILURE_PAUSE_MS: u64 = 500;
 
+/// Timeout of a load probe that also reads the upstream's temperature, in milliseconds.
+const TEMPERATURE_TIMEOUT_MS: u64 = 100;
+
+/// Pause after such a probe that failed, in milliseconds.
+const TEMPERATURE_PAUSE_MS: u64 = 100;
+
 /// The handle through which requests trigger a load probe.
 #[derive(Debug)]
 pub struct LoadProbeHandle {
@@ -41,6 +48,8 @@
     requested: Signal,
     /// Requests that wait for a probe.
     waiting: AtomicU32,
+    /// Whether a reading is wanted for which no request waits.
+    wanted: AtomicBool,
     /// Whether probes are configured and the last one succeeded, or its pause is over.
     available: AtomicBool,
     /// Age up to which a reading of the slowdown is fresh enough, in microseconds.
@@ -50,6 +59,32 @@
     max_age_micros: AtomicU64,
 }
 
+/// How long a load probe may take, and the pause after one that fails.
+#[derive(Clone, Copy, Debug)]
+struct ProbeTiming {
+    timeout_ms: u64,
+    failure_pause_ms: u64,
+}
+
+impl ProbeTiming {
+    /// Return the timing for the upstream beside this daemon.
+    ///
+    /// Where starts are limited until a reading shows that it is warm, a late reading
+    /// is still worth having, and the next is due sooner.
+    fn of(node: &Node) -> Self {
+        match node.board.gate.cold.rule() {
+            None => Self {
+                timeout_ms: REFRESH_TIMEOUT_MS,
+                failure_pause_ms: FAILURE_PAUSE_MS,
+            },
+            Some(_) => Self {
+                timeout_ms: TEMPERATURE_TIMEOUT_MS,
+                failure_pause_ms: TEMPERATURE_PAUSE_MS,
+            },
+        }
+    }
+}
+
 /// Counts one waiting request until dropped.
 struct WaiterGuard<'a>(&'a AtomicU32);
 
@@ -66,6 +101,7 @@
         Self {
             requested: Signal::new(),
             waiting: AtomicU32::new(0),
+            wanted: AtomicBool::new(false),
             available: AtomicBool::new(false),
             max_age_micros: AtomicU64::new(REFRESH_AGE_MICROS),
         }
@@ -79,9 +115,37 @@
 
     /// Report whether the upstream may be probed now.
     ///
-    /// One that has named a rate of requests is in need, and gets no load probes.
+    /// One that has named a rate of requests is in need, and one that is cold has said
+    /// for how long; neither gets load probes.
     pub fn allowed(&self, node: &Node) -> bool {
-        self.available.load(Ordering::SeqCst) && node.board.gate.start_rate().is_none()
+        let gate = &node.board.gate;
+        self.available.load(Ordering::SeqCst)
+            && gate.start_rate().is_none()
+            && gate.cold.temperature(node.clock.now()) != Temperature::Cold
+    }
+
+    /// Trigger a load probe without waiting for it.
+    pub fn request(&self) {
+        self.wanted.store(true, Ordering::SeqCst);
+        self.requested.notify(1);
+    }
+
+    /// Take a reading of the temperature if one is wanted.
+    ///
+    /// Waits for it only if the upstream may start no request now because its
+    /// temperature is not known.
+    pub async fn read_temperature(&self, node: &Node) {
+        let gate = &node.board.gate;
+        let now = node.clock.now();
+        if !gate.cold.wants_reading(now) || !self.allowed(node) {
+            return;
+        }
+        let starts = gate.start_schedule(now);
+        if starts.is_some_and(|starts| starts.next_start(gate.waiting(), now) > now) {
+            self.refresh(node).await;
+        } else {
+            self.request();
+        }
     }
 
     /// Trigger a load probe and wait for its result.
@@ -98,11 +162,15 @@
         drop(waiting);
     }
 
-    /// Wait until at least one request waits for a probe.
+    fn is_wanted(&self) -> bool {
+        self.waiting.load(Ordering::SeqCst) > 0 || self.wanted.load(Ordering::SeqCst)
+    }
+
+    /// Wait until a probe is wanted.
     async fn wait_for_request(&self) {
         loop {
             let requested = self.requested.listen();
-            if self.waiting.load(Ordering::SeqCst) > 0 {
+            if self.is_wanted() {
                 return;
             }
             requested.await;
@@ -136,12 +204,12 @@
         if let Some(at) = budget.next_at() {
             node.clock.sleep_until(Deadline::at(at)).await;
         }
-        if node.load_probes.waiting.load(Ordering::SeqCst) == 0
-            || !budget.try_take(node.clock.now())
-        {
+        if !node.load_probes.is_wanted() || !budget.try_take(node.clock.now()) {
             continue;
         }
-        let deadline = Deadline::in_millis(node.clock.now(), REFRESH_TIMEOUT_MS);
+        node.load_probes.wanted.store(false, Ordering::SeqCst);
+        let timing = ProbeTiming::of(&node);
+        let deadline = Deadline::in_millis(node.clock.now(), timing.timeout_ms);
         node.metrics.count(CounterId::Measurements);
         let result = probe.query(&node, &discovery, deadline);
         let result = node.clock.within(deadline, result).await;
@@ -155,8 +223,13 @@
                 Event::MeasurementFailed.log(cause);
                 node.load_probes.available.store(false, Ordering::SeqCst);
                 node.board.gate.slowdown.updated.notify(usize::MAX);
-                node.clock.sleep_millis(FAILURE_PAUSE_MS).await;
+                node.clock.sleep_millis(timing.failure_pause_ms).await;
                 node.load_probes.available.store(true, Ordering::SeqCst);
+                // Nothing else asks for a reading while requests wait for one.
+                let gate = &node.board.gate;
+                if gate.waiting() > 0 && gate.cold.wants_reading(node.clock.now()) {
+                    node.load_probes.request();
+                }
             }
         }
     }
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -83,6 +83,9 @@
     if deadline.has_passed(received_at) {
         return GateAnswer::refused(unsent.refuse(NotRunReason::DeadlinePassed));
     }
+    if lacks_configuration(node) {
+        return GateAnswer::refused(unsent.refuse(NotRunReason::NoConfiguration));
+    }
     let admitted = node.admission.admit(node, &req).await;
     node.metrics
         .record_queue_time(node.clock.now().micros_since(received_at));
@@ -105,6 +108,13 @@
     answer
 }
 
+/// Report whether the gate can't know yet which limits its upstream's service has.
+///
+/// After a restart it might send a cold upstream more than it bears.
+fn lacks_configuration(node: &Node) -> bool {
+    node.settings.discovery.is_some() && node.board.configuration.read().is_none()
+}
+
 fn log_refusal(
     node: &Node,
     id: &[u8],
--- a/crates/mustardtiller/src/http/dialect.rs
+++ b/crates/mustardtiller/src/http/dialect.rs
@@ -62,6 +62,9 @@
     pub not_run: &'static str,
     /// Header with the upstream's load.
     pub load: &'static str,
+    /// Header of a health answer with the time for which the upstream stays cold, in
+    /// milliseconds.
+    pub cold_ms: &'static str,
     /// Header with the rate of requests that the upstream takes from all hosts together.
     pub start_rate: &'static str,
     /// Header by which the upstream announces that it is leaving, and its value.
@@ -102,6 +105,7 @@
             upstream: "mustardtiller-upstream",
             not_run: "mustardtiller-not-run",
             load: "mustardtiller-load",
+            cold_ms: "mustardtiller-cold-ms",
             start_rate: "mustardtiller-limit",
             leaving: ("upstream-state", "draining"),
             proof: Proof::Connection {
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -163,6 +163,8 @@
     pub task_delay_ms: Gauge,
     /// Rate that the upstream named, in thousandths per second; zero if it named none.
     pub start_rate_milli: Gauge,
+    /// Whether the upstream last said that it is cold.
+    pub upstream_cold: Gauge,
     /// Requests in flight at the gate.
     pub gate_in_flight: Gauge,
     /// The configuration revision in force.
@@ -196,6 +198,11 @@
             "task_delay_ms",
             "Delay of the last task that was due, in milliseconds",
         );
+        let upstream_cold = gauge(
+            registry,
+            "upstream_cold",
+            "One if the upstream last said that it is cold",
+        );
         let start_rate_milli = gauge(
             registry,
             "start_rate_milli",
@@ -208,6 +215,7 @@
             caller_connections,
             task_delay_ms,
             start_rate_milli,
+            upstream_cold,
             gate_in_flight,
             revision,
             registered,
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -28,6 +28,7 @@
 use super::headers::is_hop_by_hop;
 use super::headers::named_by_connection;
 use super::pool::connect;
+use super::temperature::doubt_temperature;
 use crate::daemon::Node;
 use crate::gate::GateAnswer;
 use crate::gate::GateRequest;
@@ -36,6 +37,7 @@
 use crate::http::Dialect;
 use crate::http::Proof;
 use mustardtiller_core::Deadline;
+use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::Sent;
@@ -55,6 +57,11 @@
 /// at once.
 const STALE_CONNECTION_ERROR_MS: u64 = 5;
 
+/// Age up to which a start is good for sending, in microseconds.
+///
+/// Far above the usual time of a connection on the same host.
+const MAX_START_AGE_MICROS: u64 = 50_000;
+
 /// Statuses by which an upstream reports load shedding.
 const SHED_STATUSES: &[u16] = &[429, 503];
 
@@ -88,14 +95,14 @@
         Err(refusal) => return GateAnswer::refused(refusal),
     };
     let Some((sender, response)) = response else {
-        node.board.recheck_local.notify(1);
+        doubt_upstream(node);
         return GateAnswer::refused(sent.unknown(UnknownReason::DeadlinePassed));
     };
     let Ok(response) = response else {
         let reason = if body_cut.load(Ordering::SeqCst) {
             UnknownReason::BodyCut
         } else {
-            node.board.recheck_local.notify(1);
+            doubt_upstream(node);
             UnknownReason::AnswerCut
         };
         return GateAnswer::refused(sent.unknown(reason));
@@ -205,6 +212,7 @@
         Ok(http) => http,
         Err(reason) => return Err(unsent.refuse(reason).into()),
     };
+    let granted_at = node.clock.now();
     loop {
         let idle = if pooled {
             node.pool.take(node.clock.now())
@@ -217,11 +225,14 @@
             None => match connect(node, upstream.address, deadline).await {
                 Ok(sender) => sender,
                 Err(_) => {
-                    node.board.recheck_local.notify(1);
+                    doubt_upstream(node);
                     return Err(unsent.refuse(NotRunReason::UpstreamDown).into());
                 }
             },
         };
+        if !keeps_start(node, granted_at) {
+            return Err(unsent.refuse(NotRunReason::RateLimited).into());
+        }
         if deadline.has_passed(node.clock.now()) {
             return Err(unsent.refuse(NotRunReason::DeadlinePassed).into());
         }
@@ -242,6 +253,7 @@
                 (Some(message), unused_copy) => {
                     let (still_unsent, message) = sent.unsent(message);
                     if !pooled {
+                        doubt_temperature(node);
                         return Err(still_unsent.refuse(NotRunReason::UpstreamDown).into());
                     }
                     unsent = still_unsent;
@@ -270,6 +282,24 @@
     }
 }
 
+/// Note that an exchange failed in a way that a restart of the upstream explains.
+fn doubt_upstream(node: &Node) {
+    node.board.recheck_local.notify(1);
+    doubt_temperature(node);
+}
+
+/// Report whether the start granted at `granted_at` is still good for sending now.
+///
+/// Where starts are limited, one whose connection took long is asked for again:
+/// requests that waited for an unreachable upstream would all arrive at its return.
+fn keeps_start(node: &Node, granted_at: Instant) -> bool {
+    let now = node.clock.now();
+    let gate = &node.board.gate;
+    gate.cold.rule().is_none()
+        || now.micros_since(granted_at) < MAX_START_AGE_MICROS
+        || gate.try_start(now)
+}
+
 /// Send an idempotent request a second time, on a new connection.
 async fn resend(
     node: &Arc<Node>,
@@ -278,7 +308,10 @@
     address: SocketAddr,
     deadline: Deadline,
 ) -> Result<SendOutcome, Refusal> {
-    let Ok(mut sender) = connect(node, address, deadline).await else {
+    let granted_at = node.clock.now();
+    let connected = connect(node, address, deadline).await;
+    let Some(mut sender) = connected.ok().filter(|_| keeps_start(node, granted_at)) else {
+        doubt_temperature(node);
         return Err(sent.unknown(UnknownReason::AnswerCut));
     };
     let sending = sender.try_send_request(http);
--- a/crates/mustardtiller/src/upstream/mod.rs
+++ b/crates/mustardtiller/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod measure;
 mod pool;
 mod probe;
+mod temperature;
 
 pub use body::UpstreamBody;
 pub use exchange::end_to_end_headers;
@@ -20,3 +21,5 @@
 pub use probe::LoadProbe;
 pub use probe::ProbeReport;
 pub use probe::probe;
+pub use temperature::doubt_temperature;
+pub use temperature::note_temperature;
--- a/crates/mustardtiller/src/upstream/probe.rs
+++ b/crates/mustardtiller/src/upstream/probe.rs
@@ -12,6 +12,8 @@
 
 use super::body::RequestBody;
 use super::pool::connect;
+use super::temperature::note_temperature;
+use crate::board::ReadingStart;
 use crate::daemon::Node;
 use crate::gate::GateBody;
 use crate::http::UpstreamLoad;
@@ -38,6 +40,10 @@
     pub name: UpstreamName,
     /// Load, if the answer has a valid load header.
     pub load: Option<UpstreamLoad>,
+    /// Time for which the upstream stays cold, in milliseconds, if the answer says so.
+    pub cold_ms: Option<u64>,
+    /// What was known of its temperature when the probe was sent.
+    pub begun: ReadingStart,
 }
 
 /// Probe the upstream for its name and load, on a new connection.
@@ -90,6 +96,7 @@
                 probed.name
             ));
         }
+        note_temperature(node, probed.begun, probed.cold_ms);
         probed
             .load
             .ok_or_else(|| "the answer has no valid load header".to_owned())
@@ -132,17 +139,21 @@
         .header(HOST, discovery.upstream.to_string())
         .body(body)
         .map_err(|e| e.to_string())?;
+    let begun = node.board.gate.cold.begin_reading(node.clock.now());
     let response = sender.send_request(request).await;
     let response = response.map_err(|e| e.to_string())?;
     let (head, body) = response.into_parts();
     let text = |name| head.headers.get(name)?.to_str().ok();
     let name = text(node.dialect.upstream).ok_or("the answer does not name the upstream")?;
     let load = text(node.dialect.load).and_then(node.dialect.read_load);
+    let cold_ms = text(node.dialect.cold_ms).and_then(|ms| ms.trim().parse().ok());
     let body = Limited::new(body, MAX_PROBE_BODY_BYTES).collect().await;
     body.map_err(|e| e.to_string())?;
     Ok(ProbeReport {
         name: name.into(),
         load,
+        cold_ms,
+        begun,
     })
 }
 
