--- a/crates/mustardtiller-config/tests/object_check.rs
+++ b/crates/mustardtiller-config/tests/object_check.rs
@@ -102,6 +102,39 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+#[test]
+fn a_cold_start_is_stated_whole_and_survives_encoding() {
+    let service = |keys: &str| {
+        let text = format!("{GOOD}[service d]\n{keys}");
+        check(&[Source::new("cold.ini", text)])
+    };
+    let cold = "discovered = yes\ncold_start_ms = 3000\ncold_per_s = 13\n";
+    let set = service(cold).expect("the set has no faults");
+    let stated = set.services.iter().find_map(|service| service.cold);
+    let stated = stated.expect("the cold start is stated");
+    assert_eq!((stated.length_ms, stated.rate.as_milli()), (3_000, 13_000));
+    let artefact = build(&set).expect("the set fits the size limit");
+    let configuration = Configuration::assemble(&artefact).expect("all parts are present");
+    let read = configuration.service(&"d".into()).expect("the service");
+    assert_eq!(read.cold, Some(stated));
+    for keys in [
+        "discovered = yes\ncold_start_ms = 3000\n",
+        "discovered = yes\ncold_per_s = 13\n",
+        "discovered = yes\ncold_start_ms = 0\ncold_per_s = 13\n",
+        "discovered = yes\ncold_start_ms = 3000\ncold_per_s = 0\n",
+    ] {
+        let faults = service(keys).expect_err("the set has faults");
+        assert_eq!(faults.len(), 1, "{keys}: {faults:?}");
+    }
+    let alone = cold.replace("discovered = yes\n", "");
+    let faults = service(&alone).expect_err("the set has faults");
+    assert!(
+        faults
+            .iter()
+            .any(|fault| fault.problem.contains("register"))
+    );
+}
+
 #[test]
 fn an_empty_set_has_no_fleet() {
     let faults = check(&[Source::new("empty.ini", "")]).expect_err("the set has faults");
