--- a/crates/mustardtiller-core/src/admit/queue.rs
+++ b/crates/mustardtiller-core/src/admit/queue.rs
@@ -177,7 +177,8 @@
         self.entries.iter().map(|entry| entry.waiter.deadline).min()
     }
 
-    fn remove_if(&mut self, matches: impl Fn(&Waiter<T>) -> bool) -> Vec<T> {
+    /// Remove the waiters that match.
+    pub fn remove_if(&mut self, matches: impl Fn(&Waiter<T>) -> bool) -> Vec<T> {
         self.entries
             .extract_if(.., |entry| matches(&entry.waiter))
             .map(|entry| entry.waiter.handle)
--- a/crates/mustardtiller-core/src/names/mod.rs
+++ b/crates/mustardtiller-core/src/names/mod.rs
@@ -5,6 +5,7 @@
 pub use name::CallerName;
 pub use name::DataCentreName;
 pub use name::KindName;
+pub use name::RegionName;
 pub use name::RouteName;
 pub use name::ServiceName;
 pub use name::UpstreamName;
--- a/crates/mustardtiller-core/src/names/name.rs
+++ b/crates/mustardtiller-core/src/names/name.rs
@@ -64,6 +64,10 @@
     /// The name of a data centre, or zone.
     DataCentreName
 );
+name_type!(
+    /// The name of a region: data centres that are near one another.
+    RegionName
+);
 name_type!(
     /// The name of a route from a host and path to services.
     RouteName
--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -92,6 +92,10 @@
         EntryFull = 23 "entry-full",
         /// The upstream takes only so many requests a second, and these have started.
         RateLimited = 24 "rate-limited",
+        /// The data centre is out of service.
+        Evacuated = 26 "evacuated",
+        /// The route of the request may not be served in this region.
+        OutsideRegion = 27 "outside-region",
     }
 );
 
--- a/crates/mustardtiller-core/src/retry/mod.rs
+++ b/crates/mustardtiller-core/src/retry/mod.rs
@@ -6,5 +6,6 @@
 pub use budget::RetryBudget;
 pub use rule::RetryContext;
 pub use rule::RetryReason;
+pub use rule::is_misplaced;
 pub use rule::reached_upstream;
 pub use rule::retry_reason;
--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -34,6 +34,8 @@
     Busy,
     /// The gate could not connect to its upstream.
     UpstreamDown,
+    /// The gate's data centre or region may not serve the request.
+    Misplaced,
     /// The outcome is unknown and the kind is idempotent.
     Lost,
 }
@@ -45,6 +47,7 @@
         Self::Leaving,
         Self::Busy,
         Self::UpstreamDown,
+        Self::Misplaced,
         Self::Lost,
     ];
 
@@ -56,6 +59,7 @@
             Self::Leaving => "leaving",
             Self::Busy => "busy",
             Self::UpstreamDown => "upstream-down",
+            Self::Misplaced => "misplaced",
             Self::Lost => "lost",
         }
     }
@@ -94,6 +98,21 @@
     }
 }
 
+/// Report whether a gate refused because of where it stands.
+///
+/// It does so before it reads a body. The refusal says nothing about the upstream or its
+/// load, so it counts as no attempt.
+#[must_use]
+pub const fn is_misplaced(refusal: Refusal) -> bool {
+    match refusal {
+        Refusal::Unknown(_) => false,
+        Refusal::NotRun(not_run) => matches!(
+            not_run.reason(),
+            NotRunReason::Evacuated | NotRunReason::OutsideRegion
+        ),
+    }
+}
+
 const fn not_run_retry(reason: NotRunReason) -> Option<RetryReason> {
     match reason {
         NotRunReason::Unreachable | NotRunReason::WrongUpstream => Some(RetryReason::Unreachable),
@@ -104,6 +123,7 @@
         | NotRunReason::RateLimited
         | NotRunReason::TooLate
         | NotRunReason::UpstreamShed => Some(RetryReason::Busy),
+        NotRunReason::Evacuated | NotRunReason::OutsideRegion => Some(RetryReason::Misplaced),
         NotRunReason::UpstreamDown => Some(RetryReason::UpstreamDown),
         NotRunReason::NoService
         | NotRunReason::NoKind
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -97,6 +97,8 @@
         | NotRunReason::Busy
         | NotRunReason::EntryFull
         | NotRunReason::RateLimited
+        | NotRunReason::Evacuated
+        | NotRunReason::OutsideRegion
         | NotRunReason::NoConfiguration => 503,
     }
 }
