--- a/crates/mustardtiller-config/src/artefact/build.rs
+++ b/crates/mustardtiller-config/src/artefact/build.rs
@@ -75,7 +75,7 @@
     Ok(digest)
 }
 
-fn encode<T: Serialize>(name: &str, value: &T) -> Result<Vec<u8>, ArtefactError> {
+pub fn encode<T: Serialize>(name: &str, value: &T) -> Result<Vec<u8>, ArtefactError> {
     let bytes = postcard::to_allocvec(value)
         .map_err(|e| ArtefactError::new(ArtefactErrorKind::Damaged, format!("{name}: {e}")))?;
     if bytes.len() > MAX_VALUE_BYTES {
@@ -115,6 +115,7 @@
             .iter()
             .map(|part| (part.service.to_string(), part.weight))
             .collect(),
+        regions: route.regions.iter().map(ToString::to_string).collect(),
         kind: kind_entry(&route.kind),
     });
     let limits = fleet.limits.map(|limits| LimitsEntry {
@@ -128,6 +129,7 @@
         paths: paths.collect(),
         callers: callers.collect(),
         routes: routes.collect(),
+        evacuated: fleet.evacuated.iter().map(ToString::to_string).collect(),
         limits,
     }
 }
--- a/crates/mustardtiller-config/src/artefact/parts.rs
+++ b/crates/mustardtiller-config/src/artefact/parts.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// Version of the encoding that this program writes and reads.
-pub const FORMAT: u16 = 2;
+pub const FORMAT: u16 = 3;
 
 /// Manifest of one revision: the digests of all its parts.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +46,8 @@
     pub callers: Vec<CallerEntry>,
     /// Routes from hosts and paths to services.
     pub routes: Vec<RouteEntry>,
+    /// Names of the data centres out of service.
+    pub evacuated: Vec<String>,
     /// Limits on what callers may send.
     pub limits: Option<LimitsEntry>,
 }
@@ -74,6 +76,8 @@
     pub host: String,
     /// Services and their weights.
     pub parts: Vec<(String, u32)>,
+    /// Regions that may serve it; every region if empty.
+    pub regions: Vec<String>,
     /// How its requests are handled.
     pub kind: KindEntry,
 }
--- a/crates/mustardtiller-config/src/artefact/read.rs
+++ b/crates/mustardtiller-config/src/artefact/read.rs
@@ -7,6 +7,7 @@
 
 use serde::de::DeserializeOwned;
 
+use super::build::encode;
 use super::parts::FORMAT;
 use super::parts::FleetPart;
 use super::parts::KindEntry;
@@ -83,6 +84,35 @@
         }
     }
 
+    /// Report whether both hold the same, whatever their revisions.
+    #[must_use]
+    pub fn same_content(&self, other: &Self) -> bool {
+        let (own, other) = (&self.manifest, &other.manifest);
+        own.fleet == other.fleet && own.services == other.services
+    }
+
+    /// Drop the parts, keeping only the manifest.
+    #[must_use]
+    pub fn without_parts(mut self) -> Self {
+        self.parts.clear();
+        self
+    }
+
+    /// Return the same content under another revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the manifest can't be encoded.
+    pub fn with_revision(&self, revision: u64) -> Result<Self, ArtefactError> {
+        let mut manifest = self.manifest.clone();
+        manifest.revision = revision;
+        Ok(Self {
+            manifest_bytes: encode("manifest", &manifest)?,
+            manifest,
+            parts: self.parts.clone(),
+        })
+    }
+
     /// Return the digests of the parts not yet added.
     #[must_use]
     pub fn missing(&self) -> Vec<Digest> {
@@ -123,6 +153,7 @@
         let part: FleetPart = decode("fleet", self.part("fleet", self.manifest.fleet)?)?;
         let fleet = fleet_from(&part, self.manifest.revision);
         check_paths(&fleet)?;
+        check_evacuated(&fleet)?;
         Ok(fleet)
     }
 
@@ -202,6 +233,22 @@
     }
 }
 
+/// Check that data centres out of service are described, if any are.
+///
+/// Where upstreams register themselves, no data centre is described.
+fn check_evacuated(fleet: &Fleet) -> Result<(), ArtefactError> {
+    let unknown = fleet
+        .evacuated
+        .iter()
+        .find(|name| !fleet.data_centres.is_empty() && fleet.region_of(name).is_none());
+    match unknown {
+        Some(name) => Err(inconsistent(format!(
+            "the evacuated place {name} is unknown"
+        ))),
+        None => Ok(()),
+    }
+}
+
 fn check_routes(fleet: &Fleet, services: &[Service]) -> Result<(), ArtefactError> {
     let known: HashSet<&ServiceName> = services.iter().map(|service| &service.name).collect();
     for route in &fleet.routes {
@@ -250,7 +297,7 @@
 fn fleet_from(part: &FleetPart, revision: u64) -> Fleet {
     let data_centres = part.data_centres.iter().map(|data_centre| DataCentre {
         name: data_centre.name.as_str().into(),
-        region: Arc::from(data_centre.region.as_str()),
+        region: data_centre.region.as_str().into(),
     });
     let paths = part.paths.iter().map(|path| Path {
         name: Arc::from(path.name.as_str()),
@@ -276,6 +323,7 @@
         paths: paths.collect(),
         callers: callers.collect(),
         routes: routes.collect(),
+        evacuated: part.evacuated.iter().map(|n| n.as_str().into()).collect(),
         limits,
     }
 }
@@ -289,6 +337,7 @@
         name: entry.name.as_str().into(),
         host: Arc::from(entry.host.as_str()),
         parts: parts.collect(),
+        regions: entry.regions.iter().map(|n| n.as_str().into()).collect(),
         kind: Arc::new(kind_from(&entry.kind)),
     }
 }
--- a/crates/mustardtiller-config/src/model/types.rs
+++ b/crates/mustardtiller-config/src/model/types.rs
@@ -12,6 +12,7 @@
 use mustardtiller_core::DataCentreName;
 use mustardtiller_core::KindName;
 use mustardtiller_core::Preference;
+use mustardtiller_core::RegionName;
 use mustardtiller_core::RouteName;
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::UpstreamName;
@@ -29,10 +30,28 @@
     pub callers: Vec<Caller>,
     /// Routes from a host and a path prefix to services.
     pub routes: Vec<Arc<Route>>,
+    /// Data centres out of service: their upstreams get no request.
+    pub evacuated: Vec<DataCentreName>,
     /// Limits on callers; `None` if each daemon's own settings apply.
     pub limits: Option<CallerLimits>,
 }
 
+impl Fleet {
+    /// Report whether a data centre is out of service.
+    #[must_use]
+    pub fn is_evacuated(&self, data_centre: &DataCentreName) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
+    /// Return the region of a data centre that the configuration describes.
+    #[must_use]
+    pub fn region_of(&self, data_centre: &DataCentreName) -> Option<&RegionName> {
+        let mut data_centres = self.data_centres.iter();
+        let described = data_centres.find(|described| described.name == *data_centre)?;
+        Some(&described.region)
+    }
+}
+
 /// Limits on callers' requests and connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
@@ -55,10 +74,22 @@
     pub host: Arc<str>,
     /// The services that its requests are split between.
     pub parts: SmallVec<[RoutePart; 2]>,
+    /// The regions that may serve it; empty if all may.
+    pub regions: SmallVec<[RegionName; 2]>,
     /// How its requests are handled; the kind's path prefix selects the route.
     pub kind: Arc<Kind>,
 }
 
+impl Route {
+    /// Report whether upstreams in a region may serve the route.
+    ///
+    /// An unknown region may serve only routes without regions.
+    #[must_use]
+    pub fn allows(&self, region: Option<&RegionName>) -> bool {
+        self.regions.is_empty() || region.is_some_and(|region| self.regions.contains(region))
+    }
+}
+
 /// One service of a route, with its weight.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RoutePart {
@@ -74,7 +105,7 @@
     /// Its name.
     pub name: DataCentreName,
     /// The region it belongs to.
-    pub region: Arc<str>,
+    pub region: RegionName,
 }
 
 /// The network path between two data centres, the same in both directions.
--- a/crates/mustardtiller-config/src/objects/check.rs
+++ b/crates/mustardtiller-config/src/objects/check.rs
@@ -21,6 +21,7 @@
 use crate::Upstream;
 use crate::ini::is_name;
 use crate::ini::suggestion;
+use mustardtiller_core::RegionName;
 
 /// A directory that could not be read or did not pass the check.
 #[derive(Debug)]
@@ -75,6 +76,7 @@
     check_hosts(&sections, &set, &mut faults);
     check_kinds(&sections, &set, &mut faults);
     check_routes(&sections, &set, &mut faults);
+    check_regions(&sections, &set, &mut faults);
     if faults.is_empty() {
         return Ok(set);
     }
@@ -166,6 +168,7 @@
         paths: Vec::new(),
         callers: Vec::new(),
         routes: Vec::new(),
+        evacuated: Vec::new(),
         limits: None,
     };
     let mut services: Vec<Service> = Vec::new();
@@ -175,7 +178,13 @@
     for section in sections {
         match section.kind.as_str() {
             "fleet" => fleet.revision = parse::revision(section, faults).unwrap_or_default(),
-            "place" => fleet.data_centres.push(parse::data_centre(section, faults)),
+            "place" => {
+                let (data_centre, evacuated) = parse::data_centre(section, faults);
+                if evacuated {
+                    fleet.evacuated.push(data_centre.name.clone());
+                }
+                fleet.data_centres.push(data_centre);
+            }
             "path" => fleet.paths.extend(parse::path(section, faults)),
             "caller" => fleet.callers.push(parse::caller(section, faults)),
             "service" => services.push(parse::service(section, faults)),
@@ -295,6 +304,23 @@
     }
 }
 
+/// Report routes whose regions have no place.
+fn check_regions(sections: &[Section], set: &ObjectSet, faults: &mut Vec<Fault>) {
+    let places = set.fleet.data_centres.iter();
+    let known: Vec<&str> = places.map(|place| place.region.as_str()).collect();
+    for route in &set.fleet.routes {
+        let Some(section) = find_section(sections, "route", route.name.as_str()) else {
+            continue;
+        };
+        let unknown = route.regions.iter().map(RegionName::as_str);
+        for region in unknown.filter(|region| !known.contains(region)) {
+            let problem = format!("no place is in region `{region}`");
+            let line = section.line_of("regions");
+            faults.push(section.fault(line, problem, suggestion(region, &known)));
+        }
+    }
+}
+
 fn find_section<'a>(sections: &'a [Section], kind: &str, name: &str) -> Option<&'a Section> {
     sections.iter().find(|s| s.kind == kind && s.name == name)
 }
--- a/crates/mustardtiller-config/src/objects/diff.rs
+++ b/crates/mustardtiller-config/src/objects/diff.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::ObjectSet;
+use mustardtiller_core::DataCentreName;
 
 type Keys = BTreeMap<String, String>;
 
@@ -52,6 +53,7 @@
             new.fleet.revision, old.fleet.revision
         ));
     }
+    evacuations(old, new, lines);
     for service in &old.services {
         let Some(new_service) = new.services.iter().find(|s| s.name == service.name) else {
             lines.push(format!(
@@ -74,3 +76,31 @@
         }
     }
 }
+
+/// Report the places that are taken out of service or back.
+fn evacuations(old: &ObjectSet, new: &ObjectSet, lines: &mut Vec<String>) {
+    let (before, after) = (&old.fleet.evacuated, &new.fleet.evacuated);
+    for place in after.iter().filter(|place| !before.contains(place)) {
+        lines.push(format!(
+            "! place {place} is evacuated: its {} upstreams get no requests",
+            upstreams_in(new, place)
+        ));
+    }
+    for place in before.iter().filter(|place| !after.contains(place)) {
+        lines.push(format!(
+            "! place {place} is taken back: its {} upstreams get requests again",
+            upstreams_in(new, place)
+        ));
+    }
+    let places = &new.fleet.data_centres;
+    let all_out = places.iter().all(|p| new.fleet.is_evacuated(&p.name));
+    if all_out && !places.is_empty() {
+        lines.push("! every place is evacuated: daemons will refuse all requests".to_owned());
+    }
+}
+
+/// Count the configured upstreams in a place; those that register are not known here.
+fn upstreams_in(set: &ObjectSet, place: &DataCentreName) -> usize {
+    let upstreams = set.services.iter().flat_map(|service| &service.upstreams);
+    upstreams.filter(|u| u.data_centre == *place).count()
+}
--- a/crates/mustardtiller-config/src/objects/parse.rs
+++ b/crates/mustardtiller-config/src/objects/parse.rs
@@ -59,14 +59,17 @@
     revision
 }
 
-pub fn data_centre(section: &Section, faults: &mut Vec<Fault>) -> DataCentre {
+/// Read a data centre, and whether it is out of service.
+pub fn data_centre(section: &Section, faults: &mut Vec<Fault>) -> (DataCentre, bool) {
     let mut fields = Fields::new(section, faults);
-    let region = Arc::from(fields.text_opt("region").unwrap_or("main"));
+    let region = fields.text_opt("region").unwrap_or("main").into();
+    let evacuated = fields.flag_or("evacuated", false);
     fields.finish();
-    DataCentre {
+    let data_centre = DataCentre {
         name: section.name.as_str().into(),
         region,
-    }
+    };
+    (data_centre, evacuated)
 }
 
 pub fn path(section: &Section, faults: &mut Vec<Fault>) -> Option<Path> {
@@ -139,6 +142,7 @@
     let mut fields = Fields::new(section, faults);
     let host = fields.text("host", "give the HTTP host that the route matches");
     let parts = read_parts(&mut fields);
+    let regions = fields.list("regions");
     let handling = read_handling(section, &mut fields);
     fields.finish();
     let (mut kind, _) = handling?;
@@ -150,6 +154,7 @@
         name: section.name.as_str().into(),
         host: Arc::from(host?.to_ascii_lowercase()),
         parts,
+        regions: regions.iter().map(|name| name.as_str().into()).collect(),
         kind: Arc::new(kind),
     })
 }
