feat(gate): refuse in a data centre out of service and outside a route's regions

Change: the board's Placement, one check at the gate for new and waiting requests, routes that leave such upstreams out, offers elsewhere that count as no attempt, regions of data centres in the settings, events E220 and E221.

--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -8,6 +8,7 @@
 
 use crate::board::GateState;
 use crate::board::PhaseCell;
+use crate::board::Placement;
 use crate::board::Routes;
 use crate::board::Snapshot;
 use crate::settings::RetryBounds;
@@ -65,6 +66,8 @@
     pub routes: Snapshot<Routes>,
     /// The gate's state; [`GateState`] names the writers of its fields.
     pub gate: GateState,
+    /// What operators allow in this host's data centre. Written by the routes controller.
+    pub placement: Placement,
     /// The lifecycle phase of the process; [`PhaseCell`] names its writers.
     pub phase: PhaseCell,
     /// What another daemon last said that it remembers of this one's upstream.
--- a/crates/mustardtiller/src/board/candidate.rs
+++ b/crates/mustardtiller/src/board/candidate.rs
@@ -5,7 +5,9 @@
 use crate::board::Signals;
 use crate::link::LinkSlot;
 use mustardtiller_config::Upstream;
+use mustardtiller_core::Availability;
 use mustardtiller_core::Instant;
+use mustardtiller_core::RegionName;
 use mustardtiller_core::Sample;
 use mustardtiller_core::ServiceName;
 use mustardtiller_wire::UpstreamNotice;
@@ -19,6 +21,10 @@
     pub service: ServiceName,
     /// Whether the upstream runs in another data centre than this daemon.
     pub in_other_data_centre: bool,
+    /// Region of the upstream's data centre, if it is known.
+    pub region: Option<RegionName>,
+    /// Whether its data centre is out of service, so that it gets no request.
+    pub evacuated: bool,
     /// Cost of reaching the upstream from here, in microseconds of latency.
     pub price_micros: u32,
     /// Start of the upstream, in milliseconds of Unix time; zero if it is not known.
@@ -46,7 +52,11 @@
     /// Read the inputs for choosing an upstream.
     #[must_use]
     pub fn sample(&self, now: Instant) -> Sample {
-        self.signals
-            .sample(self.link_slot.is_up(), self.price_micros, now)
+        let link_up = self.link_slot.is_up();
+        let mut sample = self.signals.sample(link_up, self.price_micros, now);
+        if self.evacuated {
+            sample.availability = Availability::Closed;
+        }
+        sample
     }
 }
--- a/crates/mustardtiller/src/board/gate.rs
+++ b/crates/mustardtiller/src/board/gate.rs
@@ -435,7 +435,7 @@
 
     /// Return the load report for entries.
     ///
-    /// `closing` is whether the daemon itself is leaving.
+    /// `closing` is whether the daemon itself takes no requests.
     #[must_use]
     pub fn load_report(&self, now: Instant, closing: bool) -> LoadReport {
         LoadReport {
--- a/crates/mustardtiller/src/board/routes.rs
+++ b/crates/mustardtiller/src/board/routes.rs
@@ -36,6 +36,23 @@
 }
 
 impl ServiceRoutes {
+    /// Return the same service with other upstreams; budgets are shared.
+    #[must_use]
+    pub fn with_upstreams(
+        &self,
+        candidates: Vec<Arc<Candidate>>,
+        others: Vec<Arc<Candidate>>,
+    ) -> Self {
+        Self {
+            service: Arc::clone(&self.service),
+            candidates,
+            others,
+            retry_percent: self.retry_percent,
+            retries: Arc::clone(&self.retries),
+            hedges: Arc::clone(&self.hedges),
+        }
+    }
+
     /// Iterate over all upstreams of the service.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Candidate>> {
         self.candidates.iter().chain(&self.others)
@@ -75,6 +92,8 @@
     ///
     /// Shared between successive snapshots.
     pub caller_timeout_micros: Arc<AtomicU64>,
+    /// The parts with only the upstreams in the route's regions; empty if all may serve it.
+    pub homes: SmallVec<[Arc<ServiceRoutes>; 2]>,
 }
 
 impl ActiveRoute {
@@ -90,6 +109,16 @@
         caller_timeout.saturating_sub(left_micros)
     }
 
+    /// Return a part of the route, with the upstreams that may serve it.
+    fn part(&self, name: &ServiceName, routes: &Routes) -> Option<Arc<ServiceRoutes>> {
+        let part = if self.route.regions.is_empty() {
+            routes.services.get(name)
+        } else {
+            self.homes.iter().find(|home| home.service.name == *name)
+        };
+        part.cloned()
+    }
+
     /// Choose the service for the next request, by the weights of the parts.
     fn pick_part(&self) -> &ServiceName {
         let parts = &self.route.parts;
@@ -140,10 +169,9 @@
         left_micros: Option<u64>,
     ) -> Result<RouteMatch, NotRunReason> {
         if let Some(active) = self.route_of(host, method, path) {
-            let service = self.services.get(active.pick_part());
-            let service = service.ok_or(NotRunReason::NoService)?;
+            let service = active.part(active.pick_part(), self);
             return Ok(RouteMatch {
-                service: Arc::clone(service),
+                service: service.ok_or(NotRunReason::NoService)?,
                 kind: Arc::clone(&active.route.kind),
                 elapsed_micros: left_micros.map_or(0, |left| active.elapsed_micros(left)),
             });
@@ -164,6 +192,25 @@
         })
     }
 
+    /// Find a request's service again, with the upstreams that may serve it now.
+    ///
+    /// Returns `None` if the service no longer serves such requests.
+    #[must_use]
+    pub fn renew(
+        &self,
+        host: &str,
+        method: &str,
+        path: &str,
+        service: &ServiceName,
+    ) -> Option<Arc<ServiceRoutes>> {
+        let Some(active) = self.route_of(host, method, path) else {
+            return self.services.get(service).cloned();
+        };
+        let mut parts = active.route.parts.iter();
+        parts.find(|part| part.service == *service)?;
+        active.part(service, self)
+    }
+
     /// Find the kind of a request without counting it in a route's split.
     #[must_use]
     pub fn kind_of(&self, host: &str, method: &str, path: &str) -> Option<Arc<Kind>> {
--- a/crates/mustardtiller/src/controllers/mod.rs
+++ b/crates/mustardtiller/src/controllers/mod.rs
@@ -8,6 +8,7 @@
 mod links;
 mod local;
 mod measure;
+mod placement;
 mod registry;
 mod routes;
 mod stop;
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use smallvec::SmallVec;
 use smol::future;
 
 use crate::board::ActiveRoute;
@@ -12,10 +13,13 @@
 use crate::board::Routes;
 use crate::board::ServiceRoutes;
 use crate::board::Signals;
+use crate::controllers::placement::region_of;
+use crate::controllers::placement::update_placement;
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::link::LinkSlot;
 use mustardtiller_config::Configuration;
+use mustardtiller_config::Route;
 use mustardtiller_config::Service;
 use mustardtiller_config::Upstream;
 use mustardtiller_core::HostList;
@@ -64,6 +68,7 @@
 /// Derive and publish routes and callers; without discovery also the own upstream.
 fn update(node: &Arc<Node>, configuration: &Configuration) {
     let hosts = node.board.hosts.share();
+    update_placement(node, configuration);
     let old = node.board.routes.share();
     let new = derive(node, configuration, &hosts, &old);
     let new = Arc::new(new);
@@ -114,6 +119,7 @@
             |previous| Arc::clone(&previous.caller_timeout_micros),
         );
         let active = ActiveRoute {
+            homes: derive_homes(node, route, &routes),
             route: Arc::clone(route),
             splitter,
             caller_timeout_micros,
@@ -131,29 +137,14 @@
     hosts: &HostList,
     previous: Option<&Arc<ServiceRoutes>>,
 ) -> ServiceRoutes {
-    let upstreams = upstreams_of(node, service);
-    let names: Vec<&UpstreamName> = upstreams.iter().map(|u| &u.name).collect();
-    let own_name = node.board.identity.upstream.as_str();
-    let chosen = if service.discovered {
-        let here = &node.board.identity.data_centre;
-        let is_near = |index: usize| upstreams[index].data_centre == *here;
-        let member = node.member_name();
-        subset_by_data_centre(member.as_str(), &names, is_near, NEAR_LINKS, FAR_LINKS)
-    } else {
-        subset(own_name, &names, service.subset as usize)
-    };
-    let mut candidates = Vec::with_capacity(chosen.len());
-    let mut others = Vec::new();
-    for (index, upstream) in upstreams.iter().enumerate() {
-        let candidate = derive_candidate(node, configuration, service, upstream, previous);
+    let mut all = Vec::new();
+    for upstream in upstreams_of(node, service) {
+        let candidate = derive_candidate(node, configuration, service, &upstream, previous);
         let leaving = is_leaving(node, hosts, &upstream.name);
         candidate.signals.set_listed_leaving(leaving);
-        if chosen.binary_search(&index).is_ok() {
-            candidates.push(candidate);
-        } else {
-            others.push(candidate);
-        }
+        all.push(candidate);
     }
+    let (candidates, others) = choose_candidates(node, service, all);
     let budget = || Arc::new(RetryBudget::new(BUDGET_CAP));
     let routes = ServiceRoutes {
         service: Arc::clone(service),
@@ -174,6 +165,63 @@
     routes
 }
 
+/// Derive the parts of a route with only the upstreams in its regions.
+fn derive_homes(
+    node: &Arc<Node>,
+    route: &Route,
+    routes: &Routes,
+) -> SmallVec<[Arc<ServiceRoutes>; 2]> {
+    let mut homes = SmallVec::new();
+    if route.regions.is_empty() {
+        return homes;
+    }
+    let services = route.parts.iter().map(|part| &part.service);
+    for all in services.filter_map(|name| routes.services.get(name)) {
+        let allowed = all.all().filter(|c| route.allows(c.region.as_ref()));
+        let allowed = allowed.cloned().collect();
+        let (candidates, others) = choose_candidates(node, &all.service, allowed);
+        let home = all.with_upstreams(candidates, others);
+        if all.service.discovered || node.preconnects(all.service.name.as_str()) {
+            node.ensure_links(&home);
+        }
+        homes.push(Arc::new(home));
+    }
+    homes
+}
+
+/// Divide the upstreams that may serve into those that this entry balances among and others.
+///
+/// Those of a data centre out of service are others. An entry that has none of its own
+/// data centre for that reason keeps as many links as one that has.
+fn choose_candidates(
+    node: &Node,
+    service: &Service,
+    all: Vec<Arc<Candidate>>,
+) -> (Vec<Arc<Candidate>>, Vec<Arc<Candidate>>) {
+    let (mut open, mut others): (Vec<_>, Vec<_>) = all.into_iter().partition(|c| !c.evacuated);
+    let names: Vec<&UpstreamName> = open.iter().map(|c| &c.upstream.name).collect();
+    let chosen = if service.discovered {
+        let far_links = if node.board.placement.is_evacuated() {
+            NEAR_LINKS + FAR_LINKS
+        } else {
+            FAR_LINKS
+        };
+        let is_near = |index: usize| !open[index].in_other_data_centre;
+        let member = node.member_name();
+        subset_by_data_centre(member.as_str(), &names, is_near, NEAR_LINKS, far_links)
+    } else {
+        let own_name = node.board.identity.upstream.as_str();
+        subset(own_name, &names, service.subset as usize)
+    };
+    let mut index = 0;
+    let unchosen = open.extract_if(.., |_| {
+        index += 1;
+        chosen.binary_search(&(index - 1)).is_err()
+    });
+    others.extend(unchosen);
+    (open, others)
+}
+
 /// Return a service's configured upstreams, or with discovery its registered ones.
 fn upstreams_of(node: &Node, service: &Service) -> Vec<Arc<Upstream>> {
     if !service.discovered {
@@ -274,6 +322,8 @@
         upstream: Arc::clone(upstream),
         service: service.name.clone(),
         in_other_data_centre: upstream.data_centre != *here,
+        region: region_of(node, configuration, &upstream.data_centre),
+        evacuated: configuration.fleet.is_evacuated(&upstream.data_centre),
         price_micros,
         signals,
         link_slot,
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -196,14 +196,15 @@
     /// Return the rate limit for measurements of the upstream.
     ///
     /// It is in thousandths of a measurement per second; zero if no configuration
-    /// names the upstream.
+    /// names the upstream, or its data centre is out of service.
     #[must_use]
     pub fn own_measurement_rate(&self) -> u64 {
         let configuration = self.board.configuration.read();
         let own = configuration
             .as_ref()
             .as_ref()
-            .and_then(|c| c.upstream(&self.board.identity.upstream));
+            .and_then(|c| c.upstream(&self.board.identity.upstream))
+            .filter(|_| !self.board.placement.is_evacuated());
         own.map_or(0, |(service, _)| service.measure_milli_per_second)
     }
 
@@ -224,9 +225,28 @@
     #[must_use]
     pub fn load_report(&self) -> LoadReport {
         let closing = self.board.phase.read() >= Phase::Withdrawn;
+        let closing = closing || self.board.placement.is_evacuated();
         self.board.gate.load_report(self.clock.now(), closing)
     }
 
+    /// Record whether the data centre is out of service, and log a change.
+    ///
+    /// The admission controller then refuses what waits, and entries get load reports.
+    pub fn note_evacuated(&self, evacuated: bool) {
+        if self.board.placement.set_evacuated(evacuated) == evacuated {
+            return;
+        }
+        let data_centre = &self.board.identity.data_centre;
+        if evacuated {
+            Event::Evacuated.log(data_centre);
+        } else {
+            Event::TakenBack.log(data_centre);
+        }
+        self.metrics.gauges.evacuated.set(i64::from(evacuated));
+        self.board.gate.availability.notify(usize::MAX);
+        self.admission.wake();
+    }
+
     /// Record whether the upstream is leaving, and log a change with its source.
     pub fn note_leaving(&self, leaving: bool, source: &str) {
         if self.board.gate.set_leaving(leaving) != leaving {
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -19,6 +19,7 @@
 use crate::board::Identity;
 use crate::board::Phase;
 use crate::board::PhaseCell;
+use crate::board::Placement;
 use crate::board::Routes;
 use crate::board::Snapshot;
 use crate::clock::Clock;
@@ -179,6 +180,7 @@
         recheck_local: Signal::new(),
         routes: Snapshot::new(Routes::default()),
         gate: GateState::new(now, warm_at),
+        placement: Placement::new(),
         phase: PhaseCell::new(),
         notice: Snapshot::new(None),
         accepts_callers: AtomicBool::new(true),
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -37,6 +37,7 @@
 use mustardtiller_core::Token;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::UpstreamName;
+use mustardtiller_core::is_misplaced;
 use mustardtiller_core::reached_upstream;
 use mustardtiller_core::retry_reason;
 
@@ -149,7 +150,7 @@
 /// If the call's kind ignores tokens, any upstream may run it.
 async fn run_with_token(
     cx: AttemptCx<'_>,
-    service: &ServiceRoutes,
+    service: &Arc<ServiceRoutes>,
     token: &Token,
     call: &mut Call,
     trace: &mut Trace,
@@ -203,6 +204,8 @@
     busy: SmallVec<[UpstreamName; 4]>,
     /// Upstreams that get no further offer of this call.
     exhausted: SmallVec<[UpstreamName; 4]>,
+    /// Upstreams whose gates refused because of where they stand; counted as no attempt.
+    misplaced: u32,
     /// Attempts that reached an upstream or may have reached one.
     reached_attempts: u32,
     /// Most recent refusal.
@@ -227,7 +230,10 @@
         if reached_upstream(refusal) {
             self.reached_attempts += 1;
         }
-        if queue_mode == QueueMode::None && !reached_upstream(refusal) {
+        if is_misplaced(refusal) {
+            self.misplaced += 1;
+            self.exhausted.push(name.clone());
+        } else if queue_mode == QueueMode::None && !reached_upstream(refusal) {
             self.busy.push(name.clone());
         } else {
             self.exhausted.push(name.clone());
@@ -238,10 +244,11 @@
 /// Run a call on any upstream, with retries if safe and within budget.
 async fn run_without_token(
     mut cx: AttemptCx<'_>,
-    service: &ServiceRoutes,
+    service: &Arc<ServiceRoutes>,
     call: &mut Call,
     trace: &mut Trace,
 ) -> Result<Answer, Refusal> {
+    let mut service = Arc::clone(service);
     let price = FarPrice::of(cx.node, call);
     let mut offers = Offers::new(offer_rule(cx, call, price));
     let mut history = OfferHistory::default();
@@ -253,7 +260,7 @@
     }
     while let Some(queue_mode) = offers.next() {
         cx.queue_mode = queue_mode;
-        let Some(candidate) = next_candidate(cx, service, &history, price).await else {
+        let Some(candidate) = next_candidate(cx, &service, &history, price).await else {
             if queue_mode == QueueMode::Queue {
                 break;
             }
@@ -261,21 +268,24 @@
             continue;
         };
         let offer = trace.record_offer(cx, &candidate);
-        let refusal = match hedged(cx, service, &candidate, call).await {
+        let refusal = match hedged(cx, &service, &candidate, call).await {
             Ok(answer) => return Ok(answer),
             Err(e) => e.refusal(),
         };
         trace.record_refusal(offer, refusal);
-        offers.record_refusal(queue_mode);
+        if !is_misplaced(refusal) {
+            offers.record_refusal(queue_mode);
+        }
         history.record_refusal(&candidate.upstream.name, queue_mode, refusal);
-        let Some(reason) = reason_to_retry(cx, service, call, &history, refusal) else {
-            trace.note_return(earliest_start(service, cx.node.clock.now()));
+        let Some(reason) = reason_to_retry(cx, &service, call, &history, refusal) else {
+            trace.note_return(earliest_start(&service, cx.node.clock.now()));
             return Err(refusal.after(history.unknown));
         };
         cx.node.metrics.count_retry(reason);
         cx.retried |= reached_upstream(refusal);
+        service = renew_service(cx.node, call, service);
     }
-    trace.note_return(earliest_start(service, cx.node.clock.now()));
+    trace.note_return(earliest_start(&service, cx.node.clock.now()));
     let no_upstream = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
     Err(history
         .last_refusal
@@ -283,6 +293,16 @@
         .after(history.unknown))
 }
 
+/// Return the service with the upstreams that may serve the call now.
+///
+/// The routes may have changed while the call waited at a gate.
+fn renew_service(node: &Node, call: &Call, service: Arc<ServiceRoutes>) -> Arc<ServiceRoutes> {
+    let routes = node.board.routes.read();
+    let name = &service.service.name;
+    let renewed = routes.renew(&call.host, &call.method, call.path(), name);
+    renewed.unwrap_or(service)
+}
+
 /// Return when the first upstream of a service takes another request.
 ///
 /// Returns `None` unless the rates that they named keep all of them from it now.
@@ -332,17 +352,17 @@
     let attempts = if has_forecasts {
         history.reached_attempts
     } else {
-        (history.exhausted.len() + history.busy.len()) as u32
+        (history.exhausted.len() + history.busy.len()) as u32 - history.misplaced
     };
     let context = RetryContext {
         idempotent: cx.kind.idempotent,
-        replayable: matches!(call.body, CallBody::Buffered(_)),
+        replayable: matches!(call.body, CallBody::Buffered(_)) || is_misplaced(refusal),
         bound: false,
-        outer_retry: call.outer_retry,
+        outer_retry: call.outer_retry && !is_misplaced(refusal),
         attempts,
         max_attempts: cx.kind.attempts,
     };
-    let unbudgeted = has_forecasts && !reached_upstream(refusal);
+    let unbudgeted = is_misplaced(refusal) || (has_forecasts && !reached_upstream(refusal));
     retry_reason(refusal, context).filter(|_| unbudgeted || service.retries.try_spend())
 }
 
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -85,6 +85,10 @@
     UpstreamRegistered = 210 Info "upstream registered",
     /// An upstream is no longer registered.
     UpstreamUnregistered = 211 Info "upstream no longer registered",
+    /// The data centre was taken out of service; its gates refuse.
+    Evacuated = 220 Info "data centre evacuated",
+    /// The data centre was taken back into service.
+    TakenBack = 221 Info "data centre taken back",
     /// A link was established.
     LinkUp = 300 Info "link up",
     /// A link was lost.
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -156,6 +156,9 @@
     if node.refuses_new_work() {
         return Err(NotRunReason::Leaving);
     }
+    if let Some(reason) = node.board.placement.refusal(req.kind_digest) {
+        return Err(reason);
+    }
     let gate = &node.board.gate;
     if gate.waiting() > 0 {
         return match req.queue_mode {
@@ -301,7 +304,8 @@
     }
 }
 
-/// Refuse expired waiters, or all if new work is refused, then grant free slots.
+/// Refuse waiters that are expired or may not be served here, or all if new work is
+/// refused, then grant free slots.
 fn grant(node: &Arc<Node>, queue: &mut WaitQueue<WaiterHandle>) {
     queue.demote_late(node.clock.now());
     for handle in queue.expire(node.clock.now()) {
@@ -312,6 +316,11 @@
             refuse(node, &handle, NotRunReason::Leaving);
         }
     }
+    let placement = &node.board.placement;
+    for handle in queue.remove_if(|w| placement.refusal(w.handle.kind_digest).is_some()) {
+        let reason = placement.refusal(handle.kind_digest);
+        refuse(node, &handle, reason.unwrap_or(NotRunReason::Leaving));
+    }
     let callers = node.board.gate.callers.share();
     let in_use = |name: &CallerName| callers.find(name.as_str()).in_use();
     while let Some(next) = queue.peek(in_use) {
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -163,6 +163,8 @@
     pub task_delay_ms: Gauge,
     /// Rate that the upstream named, in thousandths per second; zero if it named none.
     pub start_rate_milli: Gauge,
+    /// Whether the data centre is out of service: one or zero.
+    pub evacuated: Gauge,
     /// Requests in flight at the gate.
     pub gate_in_flight: Gauge,
     /// The configuration revision in force.
@@ -201,6 +203,11 @@
             "start_rate_milli",
             "Requests that the upstream takes, in thousandths a second; zero if not limited",
         );
+        let evacuated = gauge(
+            registry,
+            "evacuated",
+            "Whether the data centre is out of service",
+        );
         let gate_in_flight = gauge(registry, "gate_in_flight", "Requests in flight at the gate");
         let revision = gauge(registry, "revision", "The revision in force");
         Self {
@@ -208,6 +215,7 @@
             caller_connections,
             task_delay_ms,
             start_rate_milli,
+            evacuated,
             gate_in_flight,
             revision,
             registered,
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -1,5 +1,6 @@
 //! Settings of one daemon, read from an INI file and checked before it starts.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use log::LevelFilter;
@@ -11,6 +12,7 @@
 use mustardtiller_config::Source;
 use mustardtiller_core::DataCentreName;
 use mustardtiller_core::ReadScheduleRule;
+use mustardtiller_core::RegionName;
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::SpreadRule;
 use mustardtiller_core::UpstreamName;
@@ -110,6 +112,8 @@
     pub ready: Option<SocketAddr>,
     /// Caller of all calls to this entry; `None` if each call names its own.
     pub caller: Option<String>,
+    /// Regions of data centres that the configuration does not describe.
+    pub regions: HashMap<DataCentreName, RegionName>,
     /// Discovery of self-registered upstreams; `None` if operators configure them.
     pub discovery: Option<DiscoverySettings>,
     /// Limits on the fleet's retries.
@@ -228,6 +232,7 @@
             metrics,
             ready,
             caller,
+            regions: regions_of(&section(source, document, "regions")),
             discovery: match discovery {
                 Some(discovery) => Some(discovery?),
                 None => None,
@@ -380,6 +385,14 @@
     retries
 }
 
+/// Read the `[regions]` section: a region by the name of each data centre.
+fn regions_of(section: &Section) -> HashMap<DataCentreName, RegionName> {
+    let entries = section.entries.iter();
+    entries
+        .map(|entry| (entry.key.as_str().into(), entry.value.as_str().into()))
+        .collect()
+}
+
 fn read_seeds(fields: &mut Fields<'_>) -> Vec<SocketAddr> {
     let list = fields.list("seeds");
     let mut seeds = Vec::new();
@@ -405,6 +418,7 @@
         "discovery",
         "retries",
         "probes",
+        "regions",
     ];
     for (index, section) in document.sections.iter().enumerate() {
         if !known.contains(&section.kind.as_str()) || !section.name.is_empty() {
