--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -18,11 +18,14 @@
 use crate::metrics::CounterId;
 use crate::published::PublishedError;
 use crate::published::PublishedSource;
+use crate::published::PublishedValue;
 use mustardtiller_config::Artefact;
 use mustardtiller_config::ArtefactError;
 use mustardtiller_config::Configuration;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Digest;
+use mustardtiller_core::PlatformRead;
+use mustardtiller_core::ReadVersion;
 use mustardtiller_core::Spread;
 use mustardtiller_core::SpreadEffect;
 use mustardtiller_core::SpreadEvent;
@@ -43,11 +46,26 @@
 /// An input of the controller's loop.
 enum Input {
     Event(SpreadEvent),
-    Manifest { bytes: Vec<u8>, tag: String },
+    Manifest(PublishedValue),
     Unchanged,
     Fetched(Box<Artefact>),
 }
 
+/// What the platform held when it was last read.
+struct PlatformView {
+    manifest: Artefact,
+    as_of: Option<u64>,
+}
+
+impl PlatformView {
+    const fn read(&self) -> PlatformRead {
+        PlatformRead {
+            revision: self.manifest.manifest.revision,
+            as_of: self.as_of,
+        }
+    }
+}
+
 /// The state of the controller, owned by its loop.
 struct Controller {
     node: Arc<Node>,
@@ -58,6 +76,12 @@
     tag: Option<String>,
     /// The version of the last manifest read from the platform.
     platform_version: Version,
+    /// The last read of the platform.
+    view: Option<PlatformView>,
+    /// The highest revision that a read of the platform has shown to be outdated.
+    outdated: u64,
+    /// The last manifest whose content was refused; it is not published again.
+    refused: Option<Artefact>,
     /// The last manifest read, until its parts are fetched.
     pending: Option<Artefact>,
     input_tx: Sender<Input>,
@@ -86,6 +110,9 @@
         spread,
         tag: None,
         platform_version: Version::default(),
+        view: None,
+        outdated: 0,
+        refused: None,
         pending: None,
         input_tx,
     };
@@ -198,20 +225,26 @@
         match input {
             Input::Event(event) => event,
             Input::Unchanged => SpreadEvent::PlatformHas(self.platform_version),
-            Input::Manifest { bytes, tag } => self.handle_manifest(bytes, tag),
+            Input::Manifest(value) => self.handle_manifest(value),
             Input::Fetched(artefact) => self.accept(*artefact),
         }
     }
 
     /// Parse a manifest, and keep it until its parts are fetched.
-    fn handle_manifest(&mut self, bytes: Vec<u8>, tag: String) -> SpreadEvent {
-        self.tag = Some(tag);
-        match Artefact::from_manifest(bytes) {
-            Ok(artefact) => {
-                let version = artefact.version();
-                self.platform_version = version;
-                self.pending = Some(artefact);
-                SpreadEvent::PlatformHas(version)
+    fn handle_manifest(&mut self, value: PublishedValue) -> SpreadEvent {
+        self.tag = Some(value.tag);
+        let view = Artefact::from_manifest(value.bytes).map(|manifest| PlatformView {
+            manifest,
+            as_of: value.as_of,
+        });
+        match view.and_then(|view| self.compare(&view).map(|compared| (view, compared))) {
+            Ok((view, compared)) => {
+                self.view = Some(view);
+                self.platform_version = compared
+                    .as_ref()
+                    .map_or_else(|| self.spread.held(), Artefact::version);
+                self.pending = compared;
+                SpreadEvent::PlatformHas(self.platform_version)
             }
             Err(e) => {
                 self.node.metrics.count(CounterId::ConfigsRefused);
@@ -221,10 +254,52 @@
         }
     }
 
+    /// Return what was read under the version that it amounts to; `None` if it is held.
+    fn compare(&self, view: &PlatformView) -> Result<Option<Artefact>, ArtefactError> {
+        let held = self.node.board.artefact.share();
+        let held = held.as_ref().as_ref();
+        let same_content = held.is_some_and(|held| held.same_content(&view.manifest));
+        let refused = self.refused.as_ref();
+        let refused = refused.is_some_and(|refused| refused.same_content(&view.manifest));
+        let read = view.read();
+        match read.version(self.spread.held(), same_content, self.outdated) {
+            ReadVersion::Held => Ok(None),
+            ReadVersion::Raised(revision) if !refused => {
+                view.manifest.with_revision(revision).map(Some)
+            }
+            ReadVersion::Raised(_) | ReadVersion::AsRead => Ok(Some(view.manifest.clone())),
+        }
+    }
+
+    /// Report whether the last read of the platform shows that a configuration is outdated.
+    ///
+    /// If so, what was read is published above it.
+    fn outdate(&mut self, artefact: &Artefact) -> bool {
+        let Some(view) = self.view.take() else {
+            return false;
+        };
+        let version = artefact.version();
+        let same_content = view.manifest.same_content(artefact);
+        let outdated = view.read().outdates(version, same_content);
+        if outdated {
+            self.node.metrics.count(CounterId::ConfigsOlder);
+            Event::ConfigOlder.log(format_args!(
+                "{version} offered, the platform holds another"
+            ));
+            self.outdated = self.outdated.max(version.revision);
+            if let Ok(Some(newer)) = self.compare(&view) {
+                self.pending = Some(newer);
+                self.fetch_platform();
+            }
+        }
+        self.view = Some(view);
+        outdated
+    }
+
     /// Apply a complete configuration if it is newer than the one held.
-    fn accept(&self, artefact: Artefact) -> SpreadEvent {
+    fn accept(&mut self, artefact: Artefact) -> SpreadEvent {
         let version = artefact.version();
-        if version <= self.spread.held() {
+        if version <= self.spread.held() || self.outdate(&artefact) {
             return SpreadEvent::Refused(version);
         }
         match Configuration::assemble(&artefact) {
@@ -246,6 +321,7 @@
             Err(e) => {
                 self.node.metrics.count(CounterId::ConfigsRefused);
                 Event::ConfigRefused.log(format_args!("{version}: {e}"));
+                self.refused = Some(artefact.without_parts());
                 SpreadEvent::Refused(version)
             }
         }
@@ -263,10 +339,7 @@
             let read = contained(platform.manifest(tag.as_deref(), wait_until)).await;
             let read = read.unwrap_or_else(|cause| Err(PublishedError::Call { cause }));
             let input = match read {
-                Ok(Some(value)) => Input::Manifest {
-                    bytes: value.bytes,
-                    tag: value.tag,
-                },
+                Ok(Some(value)) => Input::Manifest(value),
                 Ok(None) => Input::Unchanged,
                 Err(e) => {
                     node.metrics.count(CounterId::PlatformFailures);
--- a/crates/mustardtiller/src/published/http.rs
+++ b/crates/mustardtiller/src/published/http.rs
@@ -152,6 +152,7 @@
             Ok(Some(PublishedValue {
                 bytes: body.to_bytes().to_vec(),
                 tag,
+                as_of: None,
             }))
         }
         304 => Ok(None),
--- a/crates/mustardtiller/src/published/source.rs
+++ b/crates/mustardtiller/src/published/source.rs
@@ -52,6 +52,8 @@
     pub bytes: Vec<u8>,
     /// The platform's tag of the value, as in an `ETag`.
     pub tag: String,
+    /// Revision of the platform as of which the value holds, if it counts its changes.
+    pub as_of: Option<u64>,
 }
 
 /// How much of the registrations to read.
