--- a/crates/mustardtiller-cli/src/commands/sets.rs
+++ b/crates/mustardtiller-cli/src/commands/sets.rs
@@ -37,6 +37,9 @@
                 set.fleet.revision,
                 set.services.len()
             );
+            for place in &set.fleet.evacuated {
+                println!("{dir}: place {place} is evacuated");
+            }
             ExitCode::SUCCESS
         }
     }
--- a/crates/mustardtiller-config/src/objects/check.rs
+++ b/crates/mustardtiller-config/src/objects/check.rs
@@ -304,7 +304,9 @@
     }
 }
 
-/// Report routes whose regions have no place.
+/// Report routes whose regions have no place, or that a kind shares its name with.
+///
+/// Gates know what they may serve by the names of kinds and routes.
 fn check_regions(sections: &[Section], set: &ObjectSet, faults: &mut Vec<Fault>) {
     let places = set.fleet.data_centres.iter();
     let known: Vec<&str> = places.map(|place| place.region.as_str()).collect();
@@ -312,6 +314,12 @@
         let Some(section) = find_section(sections, "route", route.name.as_str()) else {
             continue;
         };
+        let kinds = set.services.iter().flat_map(|service| &service.kinds);
+        let same_name = kinds.filter(|kind| kind.name == route.kind.name).count();
+        if same_name > 0 && !route.regions.is_empty() {
+            let problem = "a kind has the same name as this route with regions";
+            faults.push(section.fault(section.line, problem, "give them different names"));
+        }
         let unknown = route.regions.iter().map(RegionName::as_str);
         for region in unknown.filter(|region| !known.contains(region)) {
             let problem = format!("no place is in region `{region}`");
