--- a/crates/mustardtiller-standin/tests/util/mod.rs
+++ b/crates/mustardtiller-standin/tests/util/mod.rs
@@ -90,6 +90,8 @@
     pub daemon_settings: String,
     /// Caller objects added to the configuration.
     pub callers: String,
+    /// Keys of the place in the configuration.
+    pub place: String,
 }
 
 impl Default for FleetPlan {
@@ -104,6 +106,7 @@
             settings: String::new(),
             daemon_settings: String::new(),
             callers: String::new(),
+            place: String::new(),
         }
     }
 }
@@ -242,7 +245,8 @@
 
     /// Build an artefact with extra configuration objects.
     pub fn artefact_with(&self, revision: u64, upstreams: usize, extra_objects: &str) -> Artefact {
-        let mut text = format!("[fleet shop]\nrevision = {revision}\n[place home]\n");
+        let place = &self.plan.place;
+        let mut text = format!("[fleet shop]\nrevision = {revision}\n[place home]\n{place}");
         let _ = writeln!(
             text,
             "[service shop]\nmeasure_milli_per_s = {}",
