--- a/crates/mustardtiller-config/src/artefact/parts.rs
+++ b/crates/mustardtiller-config/src/artefact/parts.rs
@@ -46,6 +46,8 @@
     pub callers: Vec<CallerEntry>,
     /// Routes from hosts and paths to services.
     pub routes: Vec<RouteEntry>,
+    /// Names of the data centres out of service.
+    pub evacuated: Vec<String>,
     /// Limits on what callers may send.
     pub limits: Option<LimitsEntry>,
 }
@@ -74,6 +76,8 @@
     pub host: String,
     /// Services and their weights.
     pub parts: Vec<(String, u32)>,
+    /// Regions that may serve it; every region if empty.
+    pub regions: Vec<String>,
     /// How its requests are handled.
     pub kind: KindEntry,
 }
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -165,6 +165,8 @@
     pub start_rate_milli: Gauge,
     /// Whether the upstream last said that it is cold.
     pub upstream_cold: Gauge,
+    /// Whether the data centre is out of service: one or zero.
+    pub evacuated: Gauge,
     /// Requests in flight at the gate.
     pub gate_in_flight: Gauge,
     /// The configuration revision in force.
@@ -208,6 +210,11 @@
             "start_rate_milli",
             "Requests that the upstream takes, in thousandths a second; zero if not limited",
         );
+        let evacuated = gauge(
+            registry,
+            "evacuated",
+            "Whether the data centre is out of service",
+        );
         let gate_in_flight = gauge(registry, "gate_in_flight", "Requests in flight at the gate");
         let revision = gauge(registry, "revision", "The revision in force");
         Self {
@@ -216,6 +223,7 @@
             task_delay_ms,
             start_rate_milli,
             upstream_cold,
+            evacuated,
             gate_in_flight,
             revision,
             registered,
