fix(spread): read the configuration when no peer is heard, and ask a second source

Cause: only the elected reader of a data centre watched the platform, so a daemon that its peers couldn't reach kept its configuration for idle_read_ms, 300 s; and a fetch from a peer that had lost power blocked its version from every other source until it timed out, fetch_ms, 2 s.

Change: Spread counts every message of a peer. After half of silence_ms without one it queries peers, after silence_ms it watches the platform until it hears one. A daemon that reads the registrations out of turn time after time watches it too. A fetch that has not ended after fetch_hedge_ms no longer blocks its version: the next peer that advertised it is asked, then other peers, then the platform; a fetch that fails goes on with the next source at once. A version that a second source sends after the first is not remembered as refused.

reader_change names every field of the rule, so it gets the two new ones.

--- a/crates/mustardtiller-core/src/spread/rule.rs
+++ b/crates/mustardtiller-core/src/spread/rule.rs
@@ -27,6 +27,13 @@
     pub alone_ms: u64,
     /// Time after which a fetch counts as failed, in milliseconds.
     pub fetch_ms: u64,
+    /// Time after which a fetch no longer keeps another source from being asked, in milliseconds.
+    pub fetch_hedge_ms: u64,
+    /// Time without a message of any peer after which a daemon watches the platform itself,
+    /// in milliseconds.
+    ///
+    /// After half of it, the daemon queries peers at once.
+    pub silence_ms: u64,
     /// Time that a daemon without a configuration waits for its peers, in milliseconds.
     pub peers_ms: u64,
 }
@@ -45,6 +52,8 @@
             start_ms: 200,
             alone_ms: 200,
             fetch_ms: 2_000,
+            fetch_hedge_ms: 150,
+            silence_ms: 5_000,
             peers_ms: 300,
         }
     }
--- a/crates/mustardtiller-core/src/spread/state.rs
+++ b/crates/mustardtiller-core/src/spread/state.rs
@@ -14,6 +14,8 @@
 use crate::spread::SpreadEffects;
 use crate::spread::SpreadEvent;
 use crate::spread::SpreadRule;
+use crate::spread::fetch::Fetching;
+use crate::spread::fetch::NextSource;
 
 /// Number of refused versions that are remembered.
 const REMEMBERED_REFUSALS: usize = 4;
@@ -65,7 +67,8 @@
 /// The version held never decreases, whoever offers a lower one. A daemon that
 /// starts queries peers before it reads the platform, which may be stale. A
 /// reader that the platform refuses delegates its reads to another host, since
-/// the platform may refuse some hosts and serve others.
+/// the platform may refuse some hosts and serve others. A daemon that hears of no
+/// peer watches the platform itself.
 #[derive(Debug)]
 pub struct Spread {
     me: UpstreamName,
@@ -73,12 +76,16 @@
     rule: SpreadRule,
     held: Version,
     refused: SmallVec<[Version; REMEMBERED_REFUSALS]>,
-    fetching: Option<(Version, Deadline)>,
+    fetching: Option<Fetching>,
+    /// When a peer was last heard.
+    heard_at: Instant,
+    /// Whether peers were queried since then, because of the silence.
+    has_queried_silence: bool,
     reading: bool,
     failures: u32,
     /// Until when this host is a delegate, and the further delegations allowed.
     delegation: Option<(Deadline, u8)>,
-    /// Whether this host was a reader of its data centre at the last tick.
+    /// Whether this host was a reader at the last tick, for its data centre or for itself.
     was_reader: bool,
     turn: WatchTurn,
     start: StartStage,
@@ -104,6 +111,8 @@
             held: Version::default(),
             refused: SmallVec::new(),
             fetching: None,
+            heard_at: now,
+            has_queried_silence: false,
             reading: false,
             failures: 0,
             delegation: None,
@@ -129,7 +138,44 @@
         } else {
             self.next_gossip
         };
-        self.fetching.map_or(next, |(_, until)| next.min(until))
+        let next = next.min(self.next_silence_check());
+        let fetching = self.fetching.as_ref();
+        fetching.map_or(next, |fetching| {
+            let hedged = if fetching.is_slow {
+                fetching.until
+            } else {
+                fetching.hedge_at
+            };
+            next.min(hedged).min(fetching.until)
+        })
+    }
+
+    /// Record that a message of a peer came at `at`, whatever it was about.
+    pub fn hear(&mut self, at: Instant) {
+        if at > self.heard_at {
+            self.heard_at = at;
+            self.has_queried_silence = false;
+        }
+    }
+
+    /// Return when the silence of all peers calls for the next action.
+    ///
+    /// A host that reads anyway, or that holds nothing yet, does not wait for peers.
+    fn next_silence_check(&self) -> Deadline {
+        let after = |millis| Deadline::in_millis(self.heard_at, millis);
+        if self.was_reader || self.held.revision == 0 {
+            self.next_gossip
+        } else if self.has_queried_silence {
+            after(self.rule.silence_ms)
+        } else {
+            after(self.rule.silence_ms / 2)
+        }
+    }
+
+    /// Report whether no peer has been heard for so long that none may reach this host.
+    fn is_alone(&self, now: Instant) -> bool {
+        let until = Deadline::in_millis(self.heard_at, self.rule.silence_ms);
+        self.held.revision > 0 && until.has_passed(now)
     }
 
     /// Process one event, and return the effects to carry out.
@@ -151,11 +197,7 @@
             SpreadEvent::PlatformFailed => self.handle_platform_failed(hosts, now, rng),
             SpreadEvent::Accepted(version) => self.handle_accepted(version, hosts, now, rng),
             SpreadEvent::Refused(version) => self.handle_refused(version),
-            SpreadEvent::FetchFailed => {
-                self.fetching = None;
-                self.back_off(now, rng);
-                SpreadEffects::new()
-            }
+            SpreadEvent::FetchFailed => self.handle_fetch_failed(now, rng),
             SpreadEvent::StartRead => {
                 if self.held.revision == 0 {
                     self.start = StartStage::Reading;
@@ -175,12 +217,8 @@
             let count = self.rule.fanout * HANDOVER_FANOUT;
             self.advertise(hosts, count, false, rng, &mut effects);
         }
-        if self
-            .fetching
-            .is_some_and(|(_, until)| until.has_passed(now))
-        {
-            self.fetching = None;
-        }
+        self.hedge_fetch(hosts, now, rng, &mut effects);
+        self.query_in_silence(hosts, now, rng, &mut effects);
         if self.query_peers_first(hosts, now, rng) || self.next_gossip.has_passed(now) {
             let (interval_ms, count) = if self.held.revision == 0 {
                 (self.rule.gossip_ms / UNCONFIGURED_GOSSIP, self.rule.fanout)
@@ -209,7 +247,10 @@
     /// whose connection has gone silent delays a change by a step.
     fn watch_until(&mut self, hosts: &HostList, now: Instant) -> Deadline {
         let (before, data_centres) = hosts.data_centre_order(&self.data_centre);
-        let steps = if hosts.members.is_empty() {
+        let elected = hosts.is_reader(&self.me, self.rule.readers);
+        let steps = if self.is_alone(now) && !elected {
+            1
+        } else if hosts.members.is_empty() {
             STEPS_WITHOUT_HOSTS
         } else {
             match std::mem::replace(&mut self.turn, WatchTurn::Later) {
@@ -224,9 +265,10 @@
     /// Read at once if this host has become a reader since the last tick.
     ///
     /// Otherwise its first read could be minutes away, since the next read of a
-    /// host that is not a reader is after `idle_read_ms`.
+    /// host that is not a reader is after `idle_read_ms`. A host that hears of nobody
+    /// reads for itself.
     fn update_reader(&mut self, hosts: &HostList, now: Instant) {
-        let reader = hosts.is_reader(&self.me, self.rule.readers);
+        let reader = hosts.is_reader(&self.me, self.rule.readers) || self.is_alone(now);
         let became_reader = reader && !self.was_reader;
         self.was_reader = reader;
         if became_reader && self.held.revision > 0 && self.failures == 0 {
@@ -269,9 +311,10 @@
         now: Instant,
     ) -> SpreadEffects {
         let mut effects = SpreadEffects::new();
-        if self.should_fetch(version) {
-            self.begin_fetch(version, now);
-            effects.push(SpreadEffect::FetchFromPeer { peer, version });
+        self.hear(now);
+        if let Some(fetching) = self.fetching_of(version, now) {
+            fetching.add_peer(peer);
+            effects.extend(self.fetch_if_idle(now));
         }
         if wants_reply || version < self.held {
             effects.push(SpreadEffect::Advertise {
@@ -298,11 +341,11 @@
             jittered(self.rule.idle_read_ms, rng)
         };
         self.next_read = Deadline::in_millis(now, wait);
-        if self.should_fetch(version) {
+        if let Some(fetching) = self.fetching_of(version, now) {
+            fetching.add_platform();
             // All watches end with a change, so the turns begin anew.
             self.turn = WatchTurn::First;
-            self.begin_fetch(version, now);
-            effects.push(SpreadEffect::FetchFromPlatform { version });
+            effects.extend(self.fetch_if_idle(now));
         } else {
             self.failures = 0;
         }
@@ -351,7 +394,7 @@
         let is_delegate = self
             .delegation
             .is_some_and(|(until, _)| !until.has_passed(now));
-        is_delegate || hosts.is_reader(&self.me, self.rule.readers)
+        is_delegate || hosts.is_reader(&self.me, self.rule.readers) || self.is_alone(now)
     }
 
     /// Delay the next read, longer with each failure and with jitter.
@@ -362,9 +405,9 @@
         self.next_read = Deadline::in_millis(now, wait);
     }
 
-    /// Report whether no read and no fetch is in progress.
-    const fn may_read(&self) -> bool {
-        !self.reading && self.fetching.is_none()
+    /// Report whether no read is in progress, and no fetch that may still succeed soon.
+    fn may_read(&self) -> bool {
+        !self.reading && self.fetching.as_ref().is_none_or(|f| f.is_slow)
     }
 
     fn handle_accepted(
@@ -391,6 +434,10 @@
 
     fn handle_refused(&mut self, version: Version) -> SpreadEffects {
         self.end_fetch(version);
+        if version <= self.held {
+            // A second source has sent it too.
+            return SpreadEffects::new();
+        }
         if self.refused.len() == REMEMBERED_REFUSALS {
             self.refused.remove(0);
         }
@@ -398,24 +445,86 @@
         SpreadEffects::new()
     }
 
-    /// Report whether `version` is newer than those held and being fetched.
+    /// Return the fetch of `version`, which begins if that is the newest version known.
     ///
     /// A version that was refused here is not fetched again.
-    fn should_fetch(&self, version: Version) -> bool {
+    fn fetching_of(&mut self, version: Version, now: Instant) -> Option<&mut Fetching> {
         let newer_than_held = version > self.held && version.revision > 0;
-        let newer_than_fetching = self.fetching.is_none_or(|(fetching, _)| version > fetching);
-        newer_than_held && newer_than_fetching && !self.refused.contains(&version)
+        if !newer_than_held || self.refused.contains(&version) {
+            return None;
+        }
+        let fetching = self.fetching.take();
+        let fetching = fetching.filter(|fetching| fetching.version >= version);
+        let fetching = fetching.unwrap_or_else(|| Fetching::new(version, now));
+        let fetching = self.fetching.insert(fetching);
+        (fetching.version == version).then_some(fetching)
     }
 
-    fn begin_fetch(&mut self, version: Version, now: Instant) {
-        let until = Deadline::in_millis(now, self.rule.fetch_ms);
-        self.fetching = Some((version, until));
+    /// Ask the next source, unless one that was asked may still answer soon.
+    fn fetch_if_idle(&mut self, now: Instant) -> Option<SpreadEffect> {
+        let fetching = self.fetching.as_mut()?;
+        let is_idle = fetching.hedge_at.has_passed(now);
+        is_idle.then(|| fetching.next_fetch(&self.rule, now))?
     }
 
-    fn end_fetch(&mut self, version: Version) {
-        if self.fetching.is_some_and(|(fetched, _)| fetched <= version) {
+    /// Ask another source if a fetch takes long.
+    fn hedge_fetch(
+        &mut self,
+        hosts: &HostList,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+        effects: &mut SpreadEffects,
+    ) {
+        let Some(fetching) = &mut self.fetching else {
+            return;
+        };
+        if fetching.until.has_passed(now) {
             self.fetching = None;
+        } else if !fetching.is_slow && fetching.hedge_at.has_passed(now) {
+            match fetching.next_source(&self.rule, now) {
+                NextSource::Fetch(effect) => effects.push(effect),
+                NextSource::QueryPeers => {
+                    self.advertise(hosts, self.rule.fanout, true, rng, effects);
+                }
+                NextSource::ReadPlatform => self.next_read = Deadline::at(now),
+            }
+        }
+    }
+
+    /// Fetch from another source that is known, or back off.
+    fn handle_fetch_failed(&mut self, now: Instant, rng: &mut fastrand::Rng) -> SpreadEffects {
+        let Some(fetching) = &mut self.fetching else {
+            return SpreadEffects::new();
+        };
+        if !fetching.fail() {
+            return SpreadEffects::new();
         }
+        if let Some(effect) = fetching.next_fetch(&self.rule, now) {
+            return SpreadEffects::from_iter([effect]);
+        }
+        self.fetching = None;
+        self.back_off(now, rng);
+        SpreadEffects::new()
+    }
+
+    /// Query peers at once if none has been heard for a while.
+    fn query_in_silence(
+        &mut self,
+        hosts: &HostList,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+        effects: &mut SpreadEffects,
+    ) {
+        let quiet = Deadline::in_millis(self.heard_at, self.rule.silence_ms / 2);
+        let waits = !self.was_reader && self.held.revision > 0 && !self.has_queried_silence;
+        if waits && quiet.has_passed(now) {
+            self.has_queried_silence = true;
+            self.advertise(hosts, self.rule.fanout, true, rng, effects);
+        }
+    }
+
+    fn end_fetch(&mut self, version: Version) {
+        self.fetching.take_if(|f| f.version <= version);
     }
 
     /// Send the version held to `count` random peers.
--- a/crates/mustardtiller-core/tests/reader_change.rs
+++ b/crates/mustardtiller-core/tests/reader_change.rs
@@ -26,6 +26,8 @@
     start_ms: 20,
     fetch_ms: 2_000,
     peers_ms: 60,
+    fetch_hedge_ms: 150,
+    silence_ms: 20_000,
 };
 
 fn at(millis: u64) -> Instant {
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -85,6 +85,11 @@
     ///
     /// The configuration controller then reads the configuration at the same time.
     pub start_read: Event,
+    /// Notified when this daemon reads the registrations out of turn, time after time.
+    ///
+    /// Those before it in rank don't reach it, and the elected readers of the
+    /// configuration may not either, so the configuration controller watches it too.
+    pub read_for_others: Event,
     /// Notified when an upstream's error rate is high. Awaited by the health controller.
     pub unhealthy: Event,
 }
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -96,6 +96,7 @@
 impl Controller {
     async fn run(mut self, input_rx: Receiver<Input>, mut rng: fastrand::Rng) {
         loop {
+            self.spread.hear(self.gossip.heard_at());
             let next_tick = self.spread.next_tick();
             let gossip = Arc::clone(&self.gossip);
             let node = Arc::clone(&self.node);
@@ -128,14 +129,21 @@
                 start_read.await;
                 Input::Event(SpreadEvent::StartRead)
             };
+            let read_for_others = node.board.read_for_others.listen();
+            let read_for_others = async {
+                read_for_others.await;
+                Input::Event(SpreadEvent::ReadRequested { hops: 0 })
+            };
             let task_done = async {
                 match input_rx.recv().await {
                     Ok(input) => input,
                     Err(_) => future::pending().await,
                 }
             };
-            let timer_or_hosts = future::or(future::or(hosts_changed, start_read), ticked);
+            let reads = future::or(start_read, read_for_others);
+            let timer_or_hosts = future::or(future::or(hosts_changed, reads), ticked);
             let next = future::or(task_done, future::or(gossiped, timer_or_hosts)).await;
+            self.spread.hear(self.gossip.heard_at());
             let event = self.handle_input(next);
             self.step(event, &mut rng).await;
         }
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -183,6 +183,7 @@
         notice: Snapshot::new(None),
         accepts_callers: AtomicBool::new(true),
         hosts_wanted: Signal::new(),
+        read_for_others: Signal::new(),
         start_read: Signal::new(),
         unhealthy: Signal::new(),
     };
@@ -202,7 +203,8 @@
     let settings = &node.settings;
     // The link's address is bound first: whoever holds it is the upstream's only daemon.
     let link_listener = bind("link", settings.link_listen).await?;
-    let gossip = GossipSocket::bind(settings.link_listen, Arc::clone(&node.metrics)).await;
+    let gossip = GossipSocket::bind(settings.link_listen, Arc::clone(&node.metrics), node.clock);
+    let gossip = gossip.await;
     let gossip = gossip.context(BindSnafu {
         what: "gossip",
         address: settings.link_listen,
--- a/crates/mustardtiller/src/gossip/socket.rs
+++ b/crates/mustardtiller/src/gossip/socket.rs
@@ -2,16 +2,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_channel::bounded;
 use smol::net::UdpSocket;
 
+use crate::clock::Clock;
 use crate::events::Event;
 use crate::metrics::CounterId;
 use crate::metrics::Metrics;
 use mustardtiller_core::Digest;
+use mustardtiller_core::Instant;
 use mustardtiller_core::Version;
 use mustardtiller_wire::Advert;
 use mustardtiller_wire::Datagram;
@@ -70,6 +74,9 @@
 pub struct GossipSocket {
     socket: UdpSocket,
     metrics: Arc<Metrics>,
+    clock: Clock,
+    /// When a peer's datagram last came, in microseconds.
+    heard_micros: AtomicU64,
     configs: Mailbox<(SocketAddr, ConfigMessage)>,
     registry: Mailbox<(SocketAddr, RegistryMessage)>,
 }
@@ -80,16 +87,28 @@
     /// # Errors
     ///
     /// Returns the I/O error if the address can't be bound.
-    pub async fn bind(address: SocketAddr, metrics: Arc<Metrics>) -> std::io::Result<Self> {
+    pub async fn bind(
+        address: SocketAddr,
+        metrics: Arc<Metrics>,
+        clock: Clock,
+    ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
         Ok(Self {
             socket,
             metrics,
+            clock,
+            heard_micros: AtomicU64::new(clock.now().as_micros()),
             configs: Mailbox::new(),
             registry: Mailbox::new(),
         })
     }
 
+    /// Return when a peer was last heard, whatever it said.
+    #[must_use]
+    pub fn heard_at(&self) -> Instant {
+        Instant::from_micros(self.heard_micros.load(Ordering::Relaxed))
+    }
+
     /// Advertise the version held to a peer, asking for its own if `wants_reply`.
     ///
     /// A lost datagram is repaired by the next gossip round.
@@ -163,7 +182,11 @@
             self.metrics
                 .add(CounterId::DatagramBytesReceived, count as u64);
             match decode_datagram(&buf[..count]) {
-                Ok(datagram) => self.deliver(peer, datagram),
+                Ok(datagram) => {
+                    let now = self.clock.now();
+                    self.heard_micros.store(now.as_micros(), Ordering::Relaxed);
+                    self.deliver(peer, datagram);
+                }
                 Err(e) => {
                     self.metrics.count(CounterId::DatagramsMalformed);
                     Event::DatagramMalformed.log(format_args!("{peer}: {e}"));
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -316,6 +316,12 @@
         start_ms: fields.number_or("start_ms", default.start_ms, 0..=MAX_MILLIS),
         alone_ms: fields.number_or("alone_ms", default.alone_ms, 0..=MAX_MILLIS),
         fetch_ms: fields.number_or("fetch_ms", default.fetch_ms, 10..=MAX_MILLIS),
+        fetch_hedge_ms: fields.number_or(
+            "fetch_hedge_ms",
+            default.fetch_hedge_ms,
+            10..=MAX_MILLIS,
+        ),
+        silence_ms: fields.number_or("silence_ms", default.silence_ms, 50..=MAX_MILLIS),
         peers_ms: fields.number_or("peers_ms", default.peers_ms, 0..=MAX_MILLIS),
     };
     let hosts_ms = fields.number_or("hosts_ms", 60_000, 20..=MAX_MILLIS);
