fix(registry): an older view changes nothing, and unnamed services have no say

Cause: a daemon that had not read for 2.5 s kept the entries that its next read lacked and sent them to all as part of the newest revision, so that after a cut upstreams that had left were used again. And every registration counted as a member of the fleet, so that entries of a service that no configuration names were elected as readers, got gossip, and hid an upstream at their address.

Change: RegistryView (core) holds the registrations as read, which alone are told and fetched (board section listed), apart from entries that may have lapsed, which each daemon keeps for itself. Updates carry since when the store has been read without a gap; where a peer's reads cover a daemon's gap, what is missing has left. A registry of a lower revision is never accepted, except from a read of the store that began after the higher one was learnt (E212). A fetched registry gets the announced revision only with the announced digest. Only entries of configured services are published for use. The link protocol becomes version 6.

--- a/crates/mustardtiller-core/src/discover/mod.rs
+++ b/crates/mustardtiller-core/src/discover/mod.rs
@@ -2,6 +2,7 @@
 
 mod read_schedule;
 mod registry;
+mod view;
 
 pub use read_schedule::Rank;
 pub use read_schedule::ReadOutcome;
@@ -11,3 +12,5 @@
 pub use registry::RegistrationState;
 pub use registry::Registry;
 pub use registry::RegistryDelta;
+pub use view::RegistryView;
+pub use view::RegistryViewRule;
--- a/crates/mustardtiller-core/src/discover/read_schedule.rs
+++ b/crates/mustardtiller-core/src/discover/read_schedule.rs
@@ -33,10 +33,6 @@
     pub retry_ms: u64,
     /// Longest wait after a failed read, before jitter, in milliseconds.
     pub max_retry_ms: u64,
-    /// Registry age from which a missing entry may have lapsed unseen, in milliseconds.
-    pub gap_ms: u64,
-    /// Time that a lapsed entry has to register again, in milliseconds.
-    pub lapse_ms: u64,
 }
 
 impl Default for ReadScheduleRule {
@@ -52,8 +48,6 @@
             ranks: 4,
             retry_ms: 400,
             max_retry_ms: 4_000,
-            gap_ms: 2_500,
-            lapse_ms: 2_200,
         }
     }
 }
@@ -123,7 +117,6 @@
     listen_until: Deadline,
     not_before: Deadline,
     failures: u32,
-    keep_missing_until: Option<Deadline>,
 }
 
 impl ReadSchedule {
@@ -139,7 +132,6 @@
             listen_until: Deadline::in_millis(now, wait_ms),
             not_before: Deadline::at(now),
             failures: 0,
-            keep_missing_until: None,
         }
     }
 
@@ -207,17 +199,4 @@
             }
         }
     }
-
-    /// Report whether entries that are missing from a new read are kept for now.
-    ///
-    /// Called after each successful read. `held_at` is when the registry held until
-    /// then was read; `None` if there is none.
-    pub fn keeps_missing(&mut self, held_at: Option<Instant>, now: Instant) -> bool {
-        let gap = held_at.is_some_and(|at| now.micros_since(at) > self.rule.gap_ms * 1_000);
-        if gap {
-            self.keep_missing_until = Some(Deadline::in_millis(now, self.rule.lapse_ms));
-        }
-        self.keep_missing_until
-            .is_some_and(|until| !until.has_passed(now))
-    }
 }
--- a/crates/mustardtiller-core/src/discover/registry.rs
+++ b/crates/mustardtiller-core/src/discover/registry.rs
@@ -62,6 +62,8 @@
     pub revision: u64,
     /// When it was read from the platform, in this process's time.
     pub read_at: Instant,
+    /// Since when the platform has been read without a gap, in this process's time.
+    pub unbroken_since: Instant,
 }
 
 impl Registry {
@@ -80,9 +82,23 @@
             entries,
             revision,
             read_at,
+            unbroken_since: read_at,
         }
     }
 
+    /// Return this registry with other entries.
+    #[must_use]
+    pub fn with_entries<'a>(
+        &self,
+        entries: impl IntoIterator<Item = &'a Arc<Registration>>,
+    ) -> Self {
+        let entries = entries
+            .into_iter()
+            .map(|entry| (entry.name.clone(), Arc::clone(entry)))
+            .collect();
+        Self { entries, ..*self }
+    }
+
     /// Report whether a read at `revision` and `read_at` is newer than this one.
     #[must_use]
     pub fn is_older_than(&self, revision: u64, read_at: Instant) -> bool {
@@ -170,21 +186,7 @@
             entries,
             revision,
             read_at,
+            unbroken_since: self.unbroken_since,
         }
     }
-
-    /// Add the entries of `older` that this read lacks.
-    ///
-    /// After a gap between reads, an entry may be missing because its lease
-    /// lapsed while the platform was unreachable. Its upstream may still run, and
-    /// then registers again soon.
-    #[must_use]
-    pub fn with_missing_from(mut self, older: &Self) -> Self {
-        for (name, entry) in &older.entries {
-            self.entries
-                .entry(name.clone())
-                .or_insert_with(|| Arc::clone(entry));
-        }
-        self
-    }
 }
--- /dev/null
+++ b/crates/mustardtiller-core/src/discover/view.rs
@@ -0,0 +1,186 @@
+//! What one daemon knows of the registered upstreams, and what it uses of that.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::Deadline;
+use crate::Instant;
+use crate::Registration;
+use crate::Registry;
+use crate::ServiceName;
+use crate::UpstreamName;
+
+/// Times of a [`RegistryView`].
+#[derive(Clone, Copy, Debug)]
+pub struct RegistryViewRule {
+    /// Time between two reads from which a missing entry may have lapsed, in milliseconds.
+    pub gap_ms: u64,
+    /// Time that a lapsed entry has to register again, in milliseconds.
+    pub lapse_ms: u64,
+}
+
+impl Default for RegistryViewRule {
+    fn default() -> Self {
+        Self {
+            gap_ms: 2_500,
+            lapse_ms: 2_200,
+        }
+    }
+}
+
+/// A time without reads, and the entries that were missing after it.
+#[derive(Debug)]
+struct Gap {
+    /// When the last registry before it was read.
+    began: Instant,
+    /// Until when the missing entries are kept.
+    keep_until: Deadline,
+    missing: BTreeMap<UpstreamName, Arc<Registration>>,
+}
+
+/// What one daemon knows of the registered upstreams.
+///
+/// An older registry changes nothing, whoever tells it and in whatever order. After an
+/// outage of the platform, entries whose leases have lapsed are kept for a while; they
+/// are no part of the registry that other daemons are told. After a cut of this daemon
+/// alone, the reads of others cover the gap, and what is missing has left.
+///
+/// Entries of a service that no configuration names are not used, so that another
+/// writer of registrations gets no say in who reads and who is told.
+#[derive(Debug)]
+pub struct RegistryView {
+    rule: RegistryViewRule,
+    listed: Option<Registry>,
+    /// When this daemon learnt of the newest registry.
+    learnt_at: Instant,
+    gap: Option<Gap>,
+}
+
+impl RegistryView {
+    /// Create the view of a daemon that knows nothing.
+    #[must_use]
+    pub const fn new(rule: RegistryViewRule) -> Self {
+        Self {
+            rule,
+            listed: None,
+            learnt_at: Instant::from_micros(0),
+            gap: None,
+        }
+    }
+
+    /// Return the newest registry, as it was read; `None` if there is none.
+    #[must_use]
+    pub const fn listed(&self) -> Option<&Registry> {
+        self.listed.as_ref()
+    }
+
+    /// Report whether a registry of this revision and time would be accepted.
+    ///
+    /// A message that was delayed gives too late a time, so the revision decides first.
+    #[must_use]
+    pub fn is_news(&self, revision: u64, read_at: Instant) -> bool {
+        let listed = self.listed.as_ref();
+        listed.is_none_or(|listed| listed.is_older_than(revision, read_at))
+    }
+
+    /// Replace the registry by a newer one, and report whether it is newer.
+    pub fn accept(&mut self, mut newer: Registry, now: Instant) -> bool {
+        if !self.is_news(newer.revision, newer.read_at) {
+            return false;
+        }
+        if let Some(held) = self.listed.take() {
+            if self.rule.joins(held.read_at, newer.read_at) {
+                newer.unbroken_since = newer.unbroken_since.min(held.unbroken_since);
+            } else if newer.unbroken_since > held.read_at && self.gap.is_none() {
+                self.gap = Some(Gap {
+                    began: held.read_at,
+                    keep_until: Deadline::in_millis(now, self.rule.lapse_ms),
+                    missing: BTreeMap::new(),
+                });
+            }
+            if let Some(gap) = &mut self.gap {
+                let entries = held.entries();
+                let missing = entries.filter(|entry| newer.get(entry.name.as_str()).is_none());
+                gap.missing
+                    .extend(missing.map(|entry| (entry.name.clone(), Arc::clone(entry))));
+                gap.missing
+                    .retain(|name, _| newer.get(name.as_str()).is_none());
+            }
+        }
+        self.close_gap(newer.unbroken_since);
+        self.listed = Some(newer);
+        self.learnt_at = now;
+        true
+    }
+
+    /// Report whether a read of the platform shows that the revision held is none of its own.
+    ///
+    /// A read that began after this daemon learnt of a revision can't bring a lower one,
+    /// unless the platform was restored or a message was damaged.
+    #[must_use]
+    pub fn supersedes(&self, read: &Registry) -> bool {
+        let listed = self.listed.as_ref();
+        listed.is_some_and(|listed| read.revision < listed.revision)
+            && read.read_at > self.learnt_at
+    }
+
+    /// Forget the newest registry and the entries kept.
+    pub fn forget(&mut self) {
+        self.listed = None;
+        self.gap = None;
+    }
+
+    /// Record that a peer's reads had no gap from `unbroken_since` to `read_at`.
+    ///
+    /// Returns whether entries are no longer kept because of it.
+    pub fn hear_of_reads(&mut self, unbroken_since: Instant, read_at: Instant) -> bool {
+        let Some(listed) = &mut self.listed else {
+            return false;
+        };
+        if !self.rule.joins(read_at, listed.read_at) {
+            return false;
+        }
+        listed.unbroken_since = listed.unbroken_since.min(unbroken_since);
+        self.close_gap(unbroken_since)
+    }
+
+    /// Drop the entries that were kept, once their time is over.
+    ///
+    /// Returns whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        self.gap
+            .take_if(|gap| gap.keep_until.has_passed(now))
+            .is_some_and(|gap| !gap.missing.is_empty())
+    }
+
+    /// Return until when entries are kept that the newest registry lacks.
+    #[must_use]
+    pub fn keep_until(&self) -> Option<Deadline> {
+        self.gap.as_ref().map(|gap| gap.keep_until)
+    }
+
+    /// Return the entries to use: those of named services, with the entries kept.
+    #[must_use]
+    pub fn usable(&self, is_named: impl Fn(&ServiceName) -> bool) -> Registry {
+        let Some(listed) = &self.listed else {
+            return Registry::default();
+        };
+        let kept = self.gap.iter().flat_map(|gap| gap.missing.values());
+        let entries = listed.entries().chain(kept);
+        listed.with_entries(entries.filter(|entry| is_named(&entry.service)))
+    }
+
+    /// Drop the entries kept if reads without a gap began before them.
+    fn close_gap(&mut self, unbroken_since: Instant) -> bool {
+        self.gap
+            .take_if(|gap| unbroken_since <= gap.began)
+            .is_some_and(|gap| !gap.missing.is_empty())
+    }
+}
+
+impl RegistryViewRule {
+    /// Report whether reads at these times have no gap between them.
+    fn joins(self, earlier: Instant, later: Instant) -> bool {
+        later.micros_since(earlier) <= self.gap_ms * 1_000
+    }
+}
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -13,7 +13,7 @@
 use mustardtiller_core::Verdict;
 
 /// Version of the link protocol that this program implements.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// First frame from the peer that opened the link.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/mustardtiller-wire/src/gossip/datagram.rs
+++ b/crates/mustardtiller-wire/src/gossip/datagram.rs
@@ -24,6 +24,8 @@
 pub struct RegistryUpdate {
     /// Time since this registry was read from the platform, in milliseconds.
     pub age_ms: u32,
+    /// Time since when the platform has been read without a gap, in milliseconds.
+    pub unbroken_ms: u32,
     /// Revision of the platform at which it was read.
     pub revision: u64,
     /// Digest of the sender's registry before the change.
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -54,8 +54,12 @@
     pub neighbour: Snapshot<Option<SocketAddr>>,
     /// The retry bounds, which a reload of the settings may replace.
     pub retries: Snapshot<RetryBounds>,
-    /// The upstreams that have registered themselves. Written by the registry controller.
+    /// The registered upstreams of configured services. Written by the registry controller.
     pub registry: Snapshot<Registry>,
+    /// All registrations as they were read, which peers fetch.
+    ///
+    /// Written by the registry controller.
+    pub listed: Snapshot<Registry>,
     /// The upstream beside this daemon.
     ///
     /// Written by the routes controller where operators name upstreams,
--- a/crates/mustardtiller/src/controllers/registry/mod.rs
+++ b/crates/mustardtiller/src/controllers/registry/mod.rs
@@ -28,6 +28,8 @@
 use mustardtiller_core::ReadSchedule;
 use mustardtiller_core::Registry;
 use mustardtiller_core::RegistryDelta;
+use mustardtiller_core::RegistryView;
+use mustardtiller_wire::RegistryUpdate;
 
 /// Age at which the registry held is stale, in milliseconds.
 ///
@@ -60,6 +62,7 @@
         registry: Option<Registry>,
     },
     Gossip(SocketAddr, RegistryMessage),
+    Configured,
     Neighbour,
     Wanted,
     Tick,
@@ -71,11 +74,16 @@
     gossip: Arc<GossipSocket>,
     platform: Arc<dyn PublishedSource>,
     read_schedule: ReadSchedule,
-    held: Registry,
-    /// This daemon's rank in the order of readers, by the registry held.
+    view: RegistryView,
+    /// The entries of the view that are used, as published on the board.
+    usable: Registry,
+    /// This daemon's rank in the order of readers, by the entries used.
     rank: Rank,
-    has_registry: bool,
     reading: bool,
+    /// Whether the registry held was read by this daemon, out of turn.
+    read_out_of_turn: bool,
+    /// When a fetch has taken so long that another peer is asked; `None` if there is none.
+    hedge_at: Option<Deadline>,
     /// When another fetch from a peer may begin.
     next_fetch: Deadline,
     /// Daemons that the first page named, if only that was read so far.
@@ -105,10 +113,12 @@
         gossip,
         platform,
         read_schedule,
-        held: Registry::default(),
+        view: RegistryView::new(discovery.view),
+        usable: Registry::default(),
         rank: Rank::default(),
-        has_registry: false,
         reading: false,
+        read_out_of_turn: false,
+        hedge_at: None,
         next_fetch: Deadline::at(now),
         acquaintances: Vec::new(),
         next_request: Deadline::at(now),
@@ -139,7 +149,12 @@
             };
             let connected = self.node.board.neighbour.listen();
             let wanted = self.node.board.hosts_wanted.listen();
-            let has_registry = self.has_registry;
+            let configured = self.node.board.configuration.listen();
+            let configured = async {
+                configured.await;
+                Input::Configured
+            };
+            let has_registry = self.has_registry();
             let connected = async {
                 if has_registry {
                     future::pending::<()>().await;
@@ -159,6 +174,7 @@
                 Input::Tick
             };
             let gossiped = future::or(gossiped, future::or(connected, wanted));
+            let gossiped = future::or(gossiped, configured);
             match future::or(task_done, future::or(gossiped, ticked)).await {
                 Input::Tick => self.tick().await,
                 Input::Read {
@@ -168,21 +184,30 @@
                 } => self.handle_read(began, extent, registrations).await,
                 Input::Fetched { peer, registry } => self.handle_fetched(peer, registry).await,
                 Input::Gossip(peer, message) => self.handle_message(peer, message).await,
+                Input::Configured => self.publish_usable(),
                 Input::Neighbour => self.ask_neighbour().await,
                 Input::Wanted => self.read_schedule.record_demand(clock.now()),
             }
         }
     }
 
+    const fn has_registry(&self) -> bool {
+        self.view.listed().is_some()
+    }
+
     /// Return when the registry held was read; `None` if none is held.
     fn read_at(&self) -> Option<Instant> {
-        self.has_registry.then_some(self.held.read_at)
+        Some(self.view.listed()?.read_at)
     }
 
     fn next_tick(&self) -> Deadline {
-        let request_at = self.read_at().map_or(self.next_request, |read_at| {
+        let mut request_at = self.read_at().map_or(self.next_request, |read_at| {
             Deadline::in_millis(read_at, self.stale_ms()).max(self.next_request)
         });
+        if let Some(until) = self.view.keep_until() {
+            request_at = self.next_request.min(until);
+        }
+        request_at = self.hedge_at.map_or(request_at, |at| request_at.min(at));
         if self.reading {
             return request_at;
         }
@@ -192,10 +217,13 @@
     /// Read the platform if due; if the registry held is stale, request a peer's.
     async fn tick(&mut self) {
         let now = self.node.clock.now();
+        if self.view.expire(now) {
+            self.publish_usable();
+        }
         let next_read = self.read_schedule.next_read(self.read_at(), self.rank);
         if !self.reading && next_read.has_passed(now) {
             self.reading = true;
-            if !self.has_registry && self.read_schedule.has_demand() {
+            if !self.has_registry() && self.read_schedule.has_demand() {
                 self.node.board.start_read.notify(1);
             }
             self.read(now, self.read_extent());
@@ -203,7 +231,10 @@
         let stale = self
             .read_at()
             .is_none_or(|at| now.micros_since(at) >= self.stale_ms() * 1_000);
-        if stale && self.next_request.has_passed(now) {
+        // A peer's reads may show that the entries kept have left.
+        let keeps = self.view.keep_until().is_some();
+        let is_slow = self.hedge_at.take_if(|at| at.has_passed(now)).is_some();
+        if is_slow || (stale || keeps) && self.next_request.has_passed(now) {
             self.next_request = Deadline::in_millis(now, REQUEST_INTERVAL_MS);
             if let Some(peer) = self.random_peer() {
                 self.gossip.request_registry(peer).await;
@@ -241,7 +272,7 @@
         self.read_schedule
             .record_outcome(ReadOutcome::Read, rank, now, &mut self.rng);
         if extent == ReadExtent::FirstPage && registrations.has_more {
-            if !self.has_registry {
+            if !self.has_registry() {
                 self.read_schedule.record_first_page(now);
                 self.ask_acquaintances(&registrations.entries).await;
             }
@@ -253,23 +284,20 @@
                 self.malformed.insert(entry);
             }
         }
-        if self.has_registry
-            && self.held.read_at > began
-            && self.held.revision > registrations.revision
-        {
+        let registry = Registry::new(registrations.entries, registrations.revision, began);
+        let is_first = !self.has_registry();
+        if self.view.supersedes(&registry) {
+            Event::RevisionFell.log(format_args!("the platform is at {}", registry.revision));
+            self.view.forget();
+        }
+        let Some(update) = self.install(registry) else {
             // A peer's later read came first.
             return;
+        };
+        let out_of_turn = !is_first && rank != Rank::default();
+        if std::mem::replace(&mut self.read_out_of_turn, out_of_turn) && out_of_turn {
+            self.node.board.read_for_others.notify(1);
         }
-        let keep_missing = self.read_schedule.keeps_missing(self.read_at(), began);
-        let mut registry = Registry::new(registrations.entries, registrations.revision, began);
-        if keep_missing {
-            registry = registry.with_missing_from(&self.held);
-        }
-        let base_digest = self.held.digest();
-        let delta = registry.delta_from(&self.held);
-        let is_first = !self.has_registry;
-        self.install(registry, &delta);
-        let update = self.update_since(base_digest, &delta);
         if is_first {
             // Others have started too, and the first in rank of a data centre may not be up.
             let peers = self.some_peers(MAX_TOLD_AT_START);
@@ -279,14 +307,44 @@
         self.send_to(self.first_ranked_elsewhere(), &update).await;
     }
 
-    /// Replace the registry held by a newer one, and publish it if it changed.
-    fn install(&mut self, registry: Registry, delta: &RegistryDelta) {
-        self.held = registry;
-        self.rank = self.compute_rank();
-        let first = !std::mem::replace(&mut self.has_registry, true);
-        if !first && delta.changed.is_empty() && delta.removed.is_empty() {
+    /// Replace the registry held by a newer one, and publish what changes.
+    ///
+    /// Returns the update for peers; `None` if the registry is not newer.
+    fn install(&mut self, registry: Registry) -> Option<RegistryUpdate> {
+        let none = Registry::default();
+        let held = self.view.listed().unwrap_or(&none);
+        let (base_digest, delta) = (held.digest(), registry.delta_from(held));
+        let kept = self.view.keep_until();
+        if !self.view.accept(registry, self.node.clock.now()) {
+            return None;
+        }
+        let listed = self.view.listed()?;
+        let is_changed = delta != RegistryDelta::default();
+        if is_changed {
+            self.node.board.listed.publish(Arc::new(listed.clone()));
+        }
+        if is_changed || self.view.keep_until() != kept || self.usable.is_empty() {
+            self.publish_usable();
+        }
+        self.update_since(base_digest, &delta)
+    }
+
+    /// Publish the entries to use, if they have changed.
+    ///
+    /// Without a configuration, nobody can tell which services it names.
+    fn publish_usable(&mut self) {
+        let configuration = self.node.board.configuration.share();
+        let configuration = configuration.as_ref().as_ref();
+        let usable = self
+            .view
+            .usable(|service| configuration.is_none_or(|c| c.service(service).is_some()));
+        let delta = usable.delta_from(&self.usable);
+        let is_first = self.has_registry() && self.node.board.hosts.read().members.is_empty();
+        if delta == RegistryDelta::default() && !is_first {
             return;
         }
+        self.usable = usable;
+        self.rank = self.compute_rank();
         for entry in &delta.changed {
             Event::UpstreamRegistered.log(format_args!(
                 "{} of {} at {}: {:?}",
@@ -297,12 +355,10 @@
             Event::UpstreamUnregistered.log(name);
         }
         let hosts = self.hosts();
-        let registered = i64::try_from(self.held.len()).unwrap_or(i64::MAX);
+        let registered = i64::try_from(self.usable.len()).unwrap_or(i64::MAX);
         self.node.metrics.gauges.registered.set(registered);
-        self.node
-            .board
-            .registry
-            .publish(Arc::new(self.held.clone()));
-        self.node.board.hosts.publish(Arc::new(hosts));
+        let board = &self.node.board;
+        board.registry.publish(Arc::new(self.usable.clone()));
+        board.hosts.publish(Arc::new(hosts));
     }
 }
--- a/crates/mustardtiller/src/controllers/registry/peers.rs
+++ b/crates/mustardtiller/src/controllers/registry/peers.rs
@@ -20,7 +20,7 @@
     /// Report whether the upstream beside this daemon is registered.
     pub(super) fn is_listed(&self) -> bool {
         let own = self.node.settings.link;
-        let mut entries = self.held.entries();
+        let mut entries = self.usable.entries();
         entries.any(|entry| link_of(&self.node, entry.address) == own)
     }
 
@@ -29,7 +29,7 @@
         let here = &self.node.board.identity.data_centre;
         let own = rank_hash(self.node.settings.link);
         let peers = self
-            .held
+            .usable
             .entries()
             .filter(|entry| entry.data_centre == *here);
         let within_data_centre = peers
@@ -37,7 +37,7 @@
             .filter(|other| *other < own)
             .count();
         let data_centres: HashSet<&DataCentreName> = self
-            .held
+            .usable
             .entries()
             .map(|entry| &entry.data_centre)
             .collect();
@@ -59,7 +59,7 @@
         let here = &self.node.board.identity.data_centre;
         let mut firsts: HashMap<&DataCentreName, (u64, SocketAddr)> = HashMap::new();
         for entry in self
-            .held
+            .usable
             .entries()
             .filter(|entry| entry.data_centre != *here)
         {
@@ -76,7 +76,7 @@
         let here = &self.node.board.identity.data_centre;
         let own = self.node.settings.link;
         let entries = self
-            .held
+            .usable
             .entries()
             .filter(|entry| entry.data_centre == *here);
         entries
@@ -88,7 +88,7 @@
     /// Return the link addresses of up to `count` random other daemons.
     pub(super) fn some_peers(&mut self, count: usize) -> Vec<SocketAddr> {
         let own = self.node.settings.link;
-        let links = self.held.entries();
+        let links = self.usable.entries();
         let links = links.map(|entry| link_of(&self.node, entry.address));
         let mut links: Vec<SocketAddr> = links.filter(|link| *link != own).collect();
         self.rng.shuffle(&mut links);
@@ -101,7 +101,7 @@
         let here = self.node.board.identity.data_centre.clone();
         let own = self.node.settings.link;
         let links = |elsewhere: bool| -> Vec<SocketAddr> {
-            self.held
+            self.usable
                 .entries()
                 .filter(|entry| !elsewhere || entry.data_centre != here)
                 .map(|entry| link_of(&self.node, entry.address))
@@ -117,7 +117,7 @@
 
     /// Derive the host list of daemons, one beside each upstream.
     pub(super) fn hosts(&self) -> HostList {
-        let members = self.held.entries().map(|entry| {
+        let members = self.usable.entries().map(|entry| {
             let link = link_of(&self.node, entry.address);
             Member {
                 name: link.to_string().as_str().into(),
--- a/crates/mustardtiller/src/controllers/registry/reads.rs
+++ b/crates/mustardtiller/src/controllers/registry/reads.rs
@@ -1,10 +1,12 @@
 //! Reads of the platform and requests to peers, beside the controller's loop.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::Controller;
 use super::Input;
+use super::updates::RegistryAge;
 use crate::controllers::routes::link_of;
 use crate::daemon::contained;
 use crate::events::Event;
@@ -16,6 +18,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::Registration;
 use mustardtiller_core::Registry;
+use mustardtiller_core::ServiceName;
 
 /// Timeout of one read of the platform, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 1_000;
@@ -39,7 +42,7 @@
     /// from the first page whom to ask.
     pub(super) fn read_extent(&self) -> ReadExtent {
         let acquainted = !self.acquaintances.is_empty();
-        if self.has_registry || acquainted || self.read_schedule.is_starter() {
+        if self.has_registry() || acquainted || self.read_schedule.is_starter() {
             ReadExtent::All
         } else {
             ReadExtent::FirstPage
@@ -82,11 +85,13 @@
         });
     }
 
-    /// Start fetching a peer's registry, read from the platform at `read_at`.
+    /// Start fetching a peer's registry, which it announced with a revision and a digest.
     ///
-    /// The peer holds it as of `revision`. The snapshot itself may name an earlier one:
-    /// that of its last change.
-    pub(super) fn fetch(&self, peer: SocketAddr, revision: u64, read_at: Instant) {
+    /// The snapshot itself may name an earlier revision: that of its last change. It gets the
+    /// later one only if it is what was announced, since a peer that has restarted meanwhile
+    /// may hold an older one.
+    pub(super) fn fetch(&self, peer: SocketAddr, announced: (u64, u64), age: RegistryAge) {
+        let (revision, digest) = announced;
         let node = Arc::clone(&self.node);
         let input_tx = self.input_tx.clone();
         self.node.spawn(async move {
@@ -102,7 +107,12 @@
             }
             let registry = snapshot.map(|snapshot| {
                 let entries = snapshot.entries.iter().map(Registration::from);
-                Registry::new(entries, snapshot.revision.max(revision), read_at)
+                let mut registry = Registry::new(entries, snapshot.revision, age.read_at);
+                if registry.digest() == digest {
+                    registry.revision = snapshot.revision.max(revision);
+                }
+                registry.unbroken_since = age.unbroken_since;
+                registry
             });
             let _ = input_tx.try_send(Input::Fetched { peer, registry });
         });
@@ -111,7 +121,7 @@
     /// Ask the daemon that last opened a link to this one, while no registry is held.
     pub(super) async fn ask_neighbour(&mut self) {
         let now = self.node.clock.now();
-        if self.has_registry || !self.next_neighbour.has_passed(now) {
+        if self.has_registry() || !self.next_neighbour.has_passed(now) {
             return;
         }
         self.next_neighbour = Deadline::in_millis(now, NEIGHBOUR_INTERVAL_MS);
@@ -124,11 +134,19 @@
     /// Ask some of the daemons that the first page names for the registry.
     pub(super) async fn ask_acquaintances(&mut self, entries: &[Registration]) {
         let own = self.node.settings.link;
-        let links = entries
-            .iter()
-            .map(|entry| link_of(&self.node, entry.address));
+        let mut entries: Vec<&Registration> = entries.iter().collect();
+        self.rng.shuffle(&mut entries);
+        // Entries of a service that no configuration names may be many: one of each in turn.
+        let mut seen: HashMap<&ServiceName, usize> = HashMap::new();
+        let mut by_turn: Vec<(usize, SocketAddr)> = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let turn = seen.entry(&entry.service).or_default();
+            by_turn.push((*turn, link_of(&self.node, entry.address)));
+            *turn += 1;
+        }
+        by_turn.sort_by_key(|(turn, _)| *turn);
+        let links = by_turn.into_iter().map(|(_, link)| link);
         self.acquaintances = links.filter(|link| *link != own).collect();
-        self.rng.shuffle(&mut self.acquaintances);
         for link in self.acquaintances.iter().take(MAX_ASKED) {
             self.gossip.request_registry(*link).await;
         }
--- a/crates/mustardtiller/src/controllers/registry/updates.rs
+++ b/crates/mustardtiller/src/controllers/registry/updates.rs
@@ -12,22 +12,34 @@
 use mustardtiller_core::RegistryDelta;
 use mustardtiller_wire::RegistryUpdate;
 
+/// When a peer's registry was read, in this process's time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RegistryAge {
+    /// When it was read from the platform.
+    pub read_at: Instant,
+    /// Since when the platform has been read without a gap.
+    pub unbroken_since: Instant,
+}
+
 impl Controller {
     pub(super) async fn handle_fetched(&mut self, peer: SocketAddr, registry: Option<Registry>) {
         self.next_fetch = Deadline::at(self.node.clock.now());
-        if let Some(registry) = registry.filter(|r| self.is_newer(r.revision, r.read_at)) {
-            let base_digest = self.held.digest();
-            let delta = registry.delta_from(&self.held);
-            self.install(registry, &delta);
-            self.forward(peer, base_digest, &delta).await;
+        if registry.is_some() {
+            self.hedge_at = None;
+        }
+        if let Some(update) = registry.and_then(|registry| self.install(registry)) {
+            self.read_out_of_turn = false;
+            self.forward(peer, &update).await;
         }
     }
 
     pub(super) async fn handle_message(&mut self, peer: SocketAddr, message: RegistryMessage) {
         match message {
             RegistryMessage::Requested => {
-                if self.has_registry {
-                    let update = self.update_since(self.held.digest(), &RegistryDelta::default());
+                let digest = self.view.listed().map(Registry::digest);
+                let unchanged = RegistryDelta::default();
+                let update = digest.and_then(|digest| self.update_since(digest, &unchanged));
+                if let Some(update) = update {
                     self.gossip.send_registry(peer, &update).await;
                 }
             }
@@ -41,50 +53,54 @@
     /// from the registry held to the peer's.
     pub(super) async fn handle_update(&mut self, peer: SocketAddr, update: &RegistryUpdate) {
         let now = self.node.clock.now();
-        let read_at = now.minus_micros(u64::from(update.age_ms) * 1_000);
-        if !self.is_newer(update.revision, read_at) {
-            return;
+        let age = RegistryAge {
+            read_at: now.minus_micros(u64::from(update.age_ms) * 1_000),
+            unbroken_since: now.minus_micros(u64::from(update.unbroken_ms) * 1_000),
+        };
+        if self.view.hear_of_reads(age.unbroken_since, age.read_at) {
+            self.publish_usable();
         }
-        let held = self.held.digest();
-        if self.has_registry && held == update.digest {
-            self.held.revision = update.revision;
-            self.held.read_at = read_at;
-            self.forward(peer, held, &RegistryDelta::default()).await;
+        if !self.view.is_news(update.revision, age.read_at) {
             return;
         }
-        let delta = delta_of(update);
-        if self.has_registry && held == update.base_digest {
-            let registry = self.held.with_delta(&delta, update.revision, read_at);
-            if registry.digest() == update.digest {
-                self.install(registry, &delta);
-                self.forward(peer, held, &delta).await;
-                return;
+        if let Some(mut registry) = self.apply(update, age.read_at) {
+            registry.unbroken_since = age.unbroken_since;
+            if let Some(update) = self.install(registry) {
+                self.read_out_of_turn = false;
+                self.forward(peer, &update).await;
             }
-        }
-        if self.next_fetch.has_passed(now) {
+        } else if self.next_fetch.has_passed(now) {
             self.next_fetch = Deadline::in_millis(now, FETCH_HEDGE_MS);
-            self.fetch(peer, update.revision, read_at);
+            self.hedge_at = Some(self.next_fetch);
+            self.fetch(peer, (update.revision, update.digest), age);
         }
     }
 
+    /// Return the peer's registry, if the update leads there from the one held.
+    fn apply(&self, update: &RegistryUpdate, read_at: Instant) -> Option<Registry> {
+        let listed = self.view.listed()?;
+        let digest = listed.digest();
+        let delta = if digest == update.digest {
+            RegistryDelta::default()
+        } else if digest == update.base_digest {
+            delta_of(update)
+        } else {
+            return None;
+        };
+        let registry = listed.with_delta(&delta, update.revision, read_at);
+        (registry.digest() == update.digest).then_some(registry)
+    }
+
     /// Forward a peer's update to this daemon's data centre.
     ///
     /// Only the first in rank of a data centre does so, and only with updates from other data centres.
-    pub(super) async fn forward(&self, peer: SocketAddr, base_digest: u64, delta: &RegistryDelta) {
+    pub(super) async fn forward(&self, peer: SocketAddr, update: &RegistryUpdate) {
         let peers_in_data_centre = self.peers_in_data_centre();
         if self.rank.is_first_of_data_centre() && !peers_in_data_centre.contains(&peer) {
-            self.send_to(peers_in_data_centre, &self.update_since(base_digest, delta))
-                .await;
+            self.send_to(peers_in_data_centre, update).await;
         }
     }
 
-    /// Report whether a peer's registry is newer than the one held.
-    ///
-    /// A message that was delayed gives too late a time, so the revision decides first.
-    pub(super) fn is_newer(&self, revision: u64, read_at: Instant) -> bool {
-        !self.has_registry || self.held.is_older_than(revision, read_at)
-    }
-
     pub(super) async fn send_to(&self, links: Vec<SocketAddr>, update: &RegistryUpdate) {
         for link in links {
             self.gossip.send_registry(link, update).await;
@@ -92,20 +108,29 @@
     }
 
     /// Build an update from the registry with `base_digest` to the one held.
-    pub(super) fn update_since(&self, base_digest: u64, delta: &RegistryDelta) -> RegistryUpdate {
-        let age = self.node.clock.now().micros_since(self.held.read_at) / 1_000;
-        RegistryUpdate {
-            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            revision: self.held.revision,
+    ///
+    /// Returns `None` if none is held.
+    pub(super) fn update_since(
+        &self,
+        base_digest: u64,
+        delta: &RegistryDelta,
+    ) -> Option<RegistryUpdate> {
+        let now = self.node.clock.now();
+        let millis_since = |at| u32::try_from(now.micros_since(at) / 1_000).unwrap_or(u32::MAX);
+        let listed = self.view.listed()?;
+        Some(RegistryUpdate {
+            age_ms: millis_since(listed.read_at),
+            unbroken_ms: millis_since(listed.unbroken_since),
+            revision: listed.revision,
             base_digest,
-            digest: self.held.digest(),
+            digest: listed.digest(),
             changed: delta
                 .changed
                 .iter()
                 .map(|entry| entry.as_ref().into())
                 .collect(),
             removed: delta.removed.iter().map(ToString::to_string).collect(),
-        }
+        })
     }
 }
 
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -175,6 +175,7 @@
         hosts: Snapshot::new(HostList::default()),
         neighbour: Snapshot::new(None),
         registry: Snapshot::new(Registry::default()),
+        listed: Snapshot::new(Registry::default()),
         own_upstream: Snapshot::new(None),
         recheck_local: Signal::new(),
         routes: Snapshot::new(Routes::default()),
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -85,6 +85,8 @@
     UpstreamRegistered = 210 Info "upstream registered",
     /// An upstream is no longer registered.
     UpstreamUnregistered = 211 Info "upstream no longer registered",
+    /// The platform has an earlier revision than the registry held.
+    RevisionFell = 212 Warn "platform is at an earlier revision",
     /// A link was established.
     LinkUp = 300 Info "link up",
     /// A link was lost.
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -396,7 +396,7 @@
     ///
     /// Returns `None` if they don't fit a frame; the peer then reads the platform.
     fn encode_registry(&self) -> Option<Bytes> {
-        let registry = self.node.board.registry.read();
+        let registry = self.node.board.listed.read();
         let snapshot = RegistrySnapshot {
             revision: registry.revision,
             entries: registry
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -11,6 +11,7 @@
 use mustardtiller_config::Source;
 use mustardtiller_core::DataCentreName;
 use mustardtiller_core::ReadScheduleRule;
+use mustardtiller_core::RegistryViewRule;
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::SpreadRule;
 use mustardtiller_core::UpstreamName;
@@ -55,6 +56,8 @@
     pub service: ServiceName,
     /// Timing of registry reads that daemons of one data centre share.
     pub read_schedule: ReadScheduleRule,
+    /// How long registrations are kept that may have lapsed.
+    pub view: RegistryViewRule,
     /// Price of a request to another data centre, in microseconds of waiting time.
     pub far_micros: u32,
     /// Additional price per kilobyte of its body, in microseconds of waiting time.
@@ -316,11 +319,7 @@
         start_ms: fields.number_or("start_ms", default.start_ms, 0..=MAX_MILLIS),
         alone_ms: fields.number_or("alone_ms", default.alone_ms, 0..=MAX_MILLIS),
         fetch_ms: fields.number_or("fetch_ms", default.fetch_ms, 10..=MAX_MILLIS),
-        fetch_hedge_ms: fields.number_or(
-            "fetch_hedge_ms",
-            default.fetch_hedge_ms,
-            10..=MAX_MILLIS,
-        ),
+        fetch_hedge_ms: fields.number_or("fetch_hedge_ms", default.fetch_hedge_ms, 10..=MAX_MILLIS),
         silence_ms: fields.number_or("silence_ms", default.silence_ms, 50..=MAX_MILLIS),
         peers_ms: fields.number_or("peers_ms", default.peers_ms, 0..=MAX_MILLIS),
     };
@@ -357,9 +356,13 @@
         step_ms: fields.number_or("step_ms", default.step_ms, 10..=MAX_MILLIS),
         retry_ms: fields.number_or("retry_ms", default.retry_ms, 10..=MAX_MILLIS),
         max_retry_ms: fields.number_or("max_retry_ms", default.max_retry_ms, 10..=MAX_MILLIS),
-        lapse_ms: fields.number_or("lapse_ms", default.lapse_ms, 0..=MAX_MILLIS),
         ..default
     };
+    let view = RegistryViewRule::default();
+    let view = RegistryViewRule {
+        lapse_ms: fields.number_or("lapse_ms", view.lapse_ms, 0..=MAX_MILLIS),
+        ..view
+    };
     let far_micros = fields.number_or("far_us", 0, 0..=MAX_FAR_MICROS) as u32;
     let far_micros_per_kb = fields.number_or("far_us_per_kb", 0, 0..=MAX_FAR_MICROS) as u32;
     fields.finish();
@@ -367,6 +370,7 @@
         upstream: upstream?,
         service: service?.as_str().into(),
         read_schedule,
+        view,
         far_micros,
         far_micros_per_kb,
         load_probes_per_s,
