--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -85,6 +85,8 @@
     UpstreamRegistered = 210 Info "upstream registered",
     /// An upstream is no longer registered.
     UpstreamUnregistered = 211 Info "upstream no longer registered",
+    /// The platform has an earlier revision than the registry held.
+    RevisionFell = 212 Warn "platform is at an earlier revision",
     /// The data centre was taken out of service; its gates refuse.
     Evacuated = 220 Info "data centre evacuated",
     /// The data centre was taken back into service.
