fix(gate): a repeat on a kept connection draws on the fleet's retry budget

Change: the gate spends a retry of this daemon's share of the budget of its service; without one, the entry that sent the request decides, from its own share.

--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -30,6 +30,7 @@
 use crate::upstream::UpstreamPool;
 use mustardtiller_config::Upstream;
 use mustardtiller_core::LogLineBudget;
+use mustardtiller_core::ServiceName;
 use mustardtiller_core::StartRate;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_wire::LoadReport;
@@ -172,6 +173,18 @@
         self.board.own_upstream.read().as_ref().clone()
     }
 
+    /// Return the service of the upstream beside this daemon, if it is known.
+    #[must_use]
+    pub fn own_service(&self) -> Option<ServiceName> {
+        if let Some(discovery) = &self.settings.discovery {
+            return Some(discovery.service.clone());
+        }
+        let configuration = self.board.configuration.read();
+        let configuration = configuration.as_ref().as_ref()?;
+        let (service, _) = configuration.upstream(&self.board.identity.upstream)?;
+        Some(service.name.clone())
+    }
+
     /// Return the name by which the host list knows this daemon.
     #[must_use]
     pub fn member_name(&self) -> UpstreamName {
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -40,6 +40,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
+use mustardtiller_core::RetryReason;
 use mustardtiller_core::Sent;
 use mustardtiller_core::StartRate;
 use mustardtiller_core::UnknownReason;
@@ -192,8 +193,8 @@
 ///
 /// If the idle connection fails at once, an idempotent request is sent again on a
 /// new connection, since upstreams close idle connections without notice. A request
-/// that fails later has probably run; the entry decides whether to retry it, within
-/// the fleet's retry budget.
+/// that fails later has probably run; the entry decides whether to retry it. Either way
+/// it is within the fleet's retry budget.
 async fn send(
     node: &Arc<Node>,
     mut unsent: Unsent,
@@ -261,9 +262,7 @@
                     copy = unused_copy;
                 }
                 (None, Some(copy))
-                    if pooled
-                        && !stale_until.has_passed(node.clock.now())
-                        && node.board.gate.try_start(node.clock.now()) =>
+                    if pooled && !stale_until.has_passed(node.clock.now()) && may_repeat(node) =>
                 {
                     let second = http_request(node, copy, expected, number, body_cut);
                     let Ok(second) = second else {
@@ -282,6 +281,22 @@
     }
 }
 
+/// Take a start and a retry of this daemon's share of the fleet's budget.
+///
+/// The entry that sent the request may retry it too, from its own share.
+fn may_repeat(node: &Node) -> bool {
+    let Some(service) = node.own_service() else {
+        return false;
+    };
+    let routes = node.board.routes.read();
+    let routes = routes.services.get(&service);
+    let spent = routes.is_some_and(|routes| routes.retries.try_spend());
+    if spent {
+        node.metrics.count_retry(RetryReason::Lost);
+    }
+    spent && node.board.gate.try_start(node.clock.now())
+}
+
 /// Note that an exchange failed in a way that a restart of the upstream explains.
 fn doubt_upstream(node: &Node) {
     node.board.recheck_local.notify(1);
