feat(admit): rank in the wait queue, with a floor for each rank

Change: WaitRank orders one caller's waiters, ShareFloor keeps a quarter of its share for each rank, and the last in that order loses its place.

--- a/crates/mustardtiller-core/src/admit/queue.rs
+++ b/crates/mustardtiller-core/src/admit/queue.rs
@@ -1,11 +1,14 @@
 //! A bounded wait queue, fair between callers and ordered by deadline.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 use crate::CallerName;
 use crate::Deadline;
 use crate::Instant;
 use crate::NotRunReason;
+use crate::ShareFloor;
+use crate::WaitRank;
 
 /// Priority of a kind of request among those of the same caller.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -25,6 +28,8 @@
     pub weight: u32,
     /// Its priority among the caller's requests.
     pub urgency: Urgency,
+    /// Its rank among the caller's requests of the same urgency.
+    pub rank: WaitRank,
     /// The latest start at which it is answered within its latency target.
     pub start_by: Deadline,
     /// When it is given up and removed from the queue.
@@ -62,14 +67,19 @@
 ///
 /// The next slot goes to the caller that holds the fewest slots for its weight.
 /// Among one caller's requests the urgent go first, then those that can still
-/// meet their latency target, earliest first, then the late ones. When the
-/// queue is full, the caller with the most waiters for its weight loses its
-/// last request.
+/// meet their latency target, by rank and within a rank the earliest first, then the
+/// late ones. A rank that got less than a quarter of its share goes before the other
+/// ranks. When the queue is full, the caller with the most waiters for its weight loses
+/// its last request.
+///
+/// Answers a burst of one kind of request: kinds of higher rank keep their latency, and
+/// those of lower rank wait while they can still be in time.
 #[derive(Debug)]
 pub struct WaitQueue<T> {
     entries: Vec<QueueEntry<T>>,
     capacity: usize,
     arrivals: u64,
+    floor: ShareFloor,
 }
 
 impl<T> WaitQueue<T> {
@@ -80,6 +90,7 @@
             entries: Vec::with_capacity(capacity),
             capacity,
             arrivals: 0,
+            floor: ShareFloor::default(),
         }
     }
 
@@ -114,12 +125,15 @@
             return Queued::Waiting;
         }
         let largest = self.largest_caller();
-        let reason = if largest == newcomer {
-            NotRunReason::QueueFull
-        } else {
+        let last = self.remove_last_of(&largest);
+        let reason = if largest != newcomer {
             NotRunReason::ShareExceeded
+        } else if last.arrival != arrival {
+            NotRunReason::Displaced
+        } else {
+            NotRunReason::QueueFull
         };
-        let handle = self.remove_last_of(&largest);
+        let handle = last.waiter.handle;
         Queued::Refused(RefusedWaiter { handle, reason })
     }
 
@@ -128,13 +142,26 @@
         self.remove_if(|waiter| waiter.deadline.has_passed(now))
     }
 
-    /// Return how many waiters that are not late must start by `start_by` or earlier.
+    /// Count a request that found no free slot, whether or not it will wait.
+    pub fn note_offered(&mut self, rank: WaitRank) {
+        self.floor.note_offered(rank);
+    }
+
+    /// Return how many waiters that are not late go before a new one.
+    ///
+    /// A rank that got less than its floor has only its own waiters before it.
     #[must_use]
-    pub fn ahead_of(&self, start_by: Deadline) -> u32 {
-        let ahead = self
-            .entries
-            .iter()
-            .filter(|entry| !entry.late && entry.waiter.start_by <= start_by);
+    pub fn ahead_of(&self, rank: WaitRank, start_by: Deadline) -> u32 {
+        let owed = self.floor.is_owed(rank);
+        let ahead = self.entries.iter().filter(|entry| {
+            let waiter = &entry.waiter;
+            let precedes = match waiter.rank.cmp(&rank) {
+                Ordering::Less => !owed,
+                Ordering::Equal => waiter.start_by <= start_by,
+                Ordering::Greater => false,
+            };
+            !entry.late && precedes
+        });
         ahead.count() as u32
     }
 
@@ -154,21 +181,39 @@
     ///
     /// `in_use` returns how many slots a caller holds now.
     pub fn peek(&self, in_use: impl Fn(&CallerName) -> u32) -> Option<&Waiter<T>> {
-        let entry = self.entries.iter().min_by(|a, b| compare(a, b, &in_use))?;
-        Some(&entry.waiter)
+        let index = self.next_index(in_use)?;
+        Some(&self.entries[index].waiter)
     }
 
     /// Remove the waiter that gets the next slot.
     ///
     /// `in_use` returns how many slots a caller holds now.
     pub fn pop(&mut self, in_use: impl Fn(&CallerName) -> u32) -> Option<T> {
-        let best = self
-            .entries
-            .iter()
-            .enumerate()
-            .min_by(|(_, a), (_, b)| compare(a, b, &in_use))
-            .map(|(index, _)| index)?;
-        Some(self.entries.remove(best).waiter.handle)
+        let next = self.next_index(in_use)?;
+        let waiter = self.entries.remove(next).waiter;
+        self.floor.note_started(waiter.rank);
+        Some(waiter.handle)
+    }
+
+    fn next_index(&self, in_use: impl Fn(&CallerName) -> u32) -> Option<usize> {
+        let key = |entry: &QueueEntry<T>| (self.order(entry), entry.arrival);
+        let entries = self.entries.iter().enumerate();
+        let next = entries.min_by(|(_, a), (_, b)| {
+            compare_shares(a, b, &in_use).then_with(|| key(a).cmp(&key(b)))
+        });
+        next.map(|(index, _)| index)
+    }
+
+    /// Return the sort key among one caller's requests; the lowest is served first.
+    fn order(&self, entry: &QueueEntry<T>) -> (Urgency, bool, bool, WaitRank, Deadline) {
+        let waiter = &entry.waiter;
+        let due = if entry.late {
+            waiter.deadline
+        } else {
+            waiter.start_by
+        };
+        let owed = self.floor.is_owed(waiter.rank);
+        (waiter.urgency, entry.late, !owed, waiter.rank, due)
     }
 
     /// Return the earliest deadline of a waiter.
@@ -199,37 +244,26 @@
             .expect("a queue over its capacity has a waiter")
     }
 
-    fn remove_last_of(&mut self, caller: &CallerName) -> T {
+    fn remove_last_of(&mut self, caller: &CallerName) -> QueueEntry<T> {
         let index = self
             .entries
             .iter()
             .enumerate()
             .filter(|(_, entry)| entry.waiter.caller == *caller)
-            .max_by_key(|(_, entry)| rank(entry))
+            .max_by_key(|(_, entry)| (self.order(entry), entry.arrival))
             .map(|(index, _)| index)
             .expect("the largest caller has a waiter");
-        self.entries.remove(index).waiter.handle
+        self.entries.remove(index)
     }
 }
 
-/// Return the sort key among one caller's requests; the lowest is served first.
-fn rank<T>(entry: &QueueEntry<T>) -> (Urgency, bool, Deadline, u64) {
-    let waiter = &entry.waiter;
-    let due = if entry.late {
-        waiter.deadline
-    } else {
-        waiter.start_by
-    };
-    (waiter.urgency, entry.late, due, entry.arrival)
-}
-
-/// Compare by slots held for the caller's weight, then by [`rank`].
-fn compare<T>(
+/// Compare by slots held for the caller's weight.
+fn compare_shares<T>(
     a: &QueueEntry<T>,
     b: &QueueEntry<T>,
     in_use: &impl Fn(&CallerName) -> u32,
-) -> std::cmp::Ordering {
+) -> Ordering {
     let use_a = u64::from(in_use(&a.waiter.caller)) * u64::from(b.waiter.weight.max(1));
     let use_b = u64::from(in_use(&b.waiter.caller)) * u64::from(a.waiter.weight.max(1));
-    use_a.cmp(&use_b).then_with(|| rank(a).cmp(&rank(b)))
+    use_a.cmp(&use_b)
 }
--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -92,6 +92,8 @@
         EntryFull = 23 "entry-full",
         /// The upstream takes only so many requests a second, and these have started.
         RateLimited = 24 "rate-limited",
+        /// The request lost its place in the gate's queue to one of higher rank.
+        Displaced = 27 "displaced",
     }
 );
 
--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -100,6 +100,7 @@
         NotRunReason::Leaving => Some(RetryReason::Leaving),
         NotRunReason::LinkFull
         | NotRunReason::QueueFull
+        | NotRunReason::Displaced
         | NotRunReason::Busy
         | NotRunReason::RateLimited
         | NotRunReason::TooLate
--- a/crates/mustardtiller-core/tests/wait_queue.rs
+++ b/crates/mustardtiller-core/tests/wait_queue.rs
@@ -8,6 +8,7 @@
 use mustardtiller_core::Queued;
 use mustardtiller_core::Urgency;
 use mustardtiller_core::WaitQueue;
+use mustardtiller_core::WaitRank;
 use mustardtiller_core::Waiter;
 
 const CALLERS: [(&str, u32); 3] = [("a", 1), ("b", 2), ("c", 3)];
@@ -23,6 +24,7 @@
         } else {
             Urgency::Ordinary
         },
+        rank: WaitRank::Root(0),
         start_by: deadline,
         deadline,
         handle,
@@ -88,6 +90,7 @@
         caller: CallerName::new(caller),
         weight: 1,
         urgency: Urgency::Ordinary,
+        rank: WaitRank::Root(0),
         start_by: deadline,
         deadline,
         handle,
@@ -118,6 +121,7 @@
             caller: CallerName::new(name),
             weight: 1,
             urgency: Urgency::Ordinary,
+            rank: WaitRank::Root(0),
             start_by: Deadline::at(Instant::from_micros(handle + 500)),
             deadline: Deadline::at(Instant::from_micros(handle + 500)),
             handle: name.to_owned(),
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -89,6 +89,7 @@
         | NotRunReason::DeadlinePassed
         | NotRunReason::Leaving
         | NotRunReason::QueueFull
+        | NotRunReason::Displaced
         | NotRunReason::UpstreamDown
         | NotRunReason::WrongUpstream
         | NotRunReason::LedgerFull
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -26,6 +26,7 @@
 use mustardtiller_core::Queued;
 use mustardtiller_core::Urgency;
 use mustardtiller_core::WaitQueue;
+use mustardtiller_core::WaitRank;
 use mustardtiller_core::Waiter;
 
 /// Capacity of the wait queue for each slot.
@@ -69,6 +70,7 @@
 struct PermitRequest {
     caller: Arc<CallerUsage>,
     urgency: Urgency,
+    rank: WaitRank,
     kind_digest: u32,
     admission: AdmissionRequest,
     reply: Sender<Result<Permit, NotRunReason>>,
@@ -136,6 +138,7 @@
         let request = PermitRequest {
             caller,
             urgency,
+            rank: rank_of(node, req),
             kind_digest: req.kind_digest,
             admission: admission_request(req),
             reply,
@@ -145,6 +148,17 @@
     }
 }
 
+/// Return the rank of a request in the wait queue.
+///
+/// Without discovery, priorities are not compared: callers' shares decide there.
+fn rank_of(node: &Node, req: &GateRequest) -> WaitRank {
+    match node.settings.discovery {
+        Some(_) if req.depth > 0 => WaitRank::Nested,
+        Some(_) => WaitRank::Root(req.priority),
+        None => WaitRank::Root(0),
+    }
+}
+
 /// Return the concurrency limit up to which a request may start at once.
 ///
 /// Returns `None` if the request has to queue.
@@ -275,7 +289,8 @@
     let start_by = Deadline::at(target.minus_micros(forecast.service_micros));
     let last_start = request.admission.deadline.instant();
     let last_start = last_start.minus_micros(forecast.min_service_micros());
-    let ahead = queue.ahead_of(start_by);
+    queue.note_offered(request.rank);
+    let ahead = queue.ahead_of(request.rank, start_by);
     if let Admission::Refuse(reason) = decide(node, &forecast, &request.admission, ahead) {
         // The send fails only if the requester is gone.
         let _ = request.reply.try_send(Err(reason));
@@ -285,6 +300,7 @@
         caller: request.caller.name.clone(),
         weight: request.caller.share,
         urgency: request.urgency,
+        rank: request.rank,
         start_by,
         deadline: Deadline::at(last_start),
         handle: WaiterHandle {
