feat(route): learn nested calls, and avoid upstreams that shed

Cause: 4,978 requests were shed by upstreams with slots free, and each entry learned of it from its own few requests; nested calls waited among new work, so that finished runs ended in the upstream's 500. Change: the gate learns from the sources of requests which kinds are made by runs, and ranks them first (E415). It tells entries to avoid an upstream that sheds with slots free (E414), unless most of the service does. No retry is spent after the deadline. The link protocol's version is 6.

--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -1,5 +1,6 @@
 //! Admission control at a gate: concurrency limit, wait queue and forecast.
 
+mod call_sources;
 mod cold;
 mod forecast;
 mod idle_callers;
@@ -7,10 +8,17 @@
 mod limiter;
 mod queue;
 mod share_floor;
+mod shed_watch;
 mod slowdown;
 mod start_rate;
 mod wait_rank;
 
+pub use call_sources::KIND_SLOTS;
+pub use call_sources::KindSources;
+pub use call_sources::NestedKinds;
+pub use call_sources::SOURCE_SLOTS;
+pub use call_sources::kind_slot;
+pub use call_sources::nested_kinds;
 pub use cold::ColdReading;
 pub use cold::ColdStart;
 pub use cold::Temperature;
@@ -33,6 +41,7 @@
 pub use queue::WaitQueue;
 pub use queue::Waiter;
 pub use share_floor::ShareFloor;
+pub use shed_watch::ShedWatch;
 pub use slowdown::SLOW_PERCENT;
 pub use slowdown::Slowdown;
 pub use start_rate::StartRate;
--- a/crates/mustardtiller-core/src/route/health.rs
+++ b/crates/mustardtiller-core/src/route/health.rs
@@ -57,6 +57,26 @@
     (ejected + 1) * 100 <= total * rule.max_percent
 }
 
+/// Report whether `avoided` of `total` upstreams are few enough to be left out.
+///
+/// If most upstreams of a service shed, the others can't take their load, and nothing is
+/// gained by a herd on the few that were found last.
+///
+/// # Examples
+///
+/// ```
+/// use mustardtiller_core::EjectionRule;
+/// use mustardtiller_core::may_avoid;
+///
+/// let rule = EjectionRule::default();
+/// assert!(may_avoid(&rule, 40, 6));
+/// assert!(!may_avoid(&rule, 40, 30));
+/// ```
+#[must_use]
+pub const fn may_avoid(rule: &EjectionRule, total: usize, avoided: usize) -> bool {
+    avoided * 100 <= total * rule.max_percent
+}
+
 /// An exponentially smoothed error rate, in thousandths.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ErrorRate(u32);
--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -13,6 +13,7 @@
 pub use choice::choose;
 pub use health::EjectionRule;
 pub use health::ErrorRate;
+pub use health::may_avoid;
 pub use health::may_eject;
 pub use offer::OfferRule;
 pub use offer::Offers;
--- a/crates/mustardtiller-standin/src/lab/fleet.rs
+++ b/crates/mustardtiller-standin/src/lab/fleet.rs
@@ -281,6 +281,7 @@
             announced_leaving: false,
             start_milli: 0,
             start_wait_ms: 0,
+            shed_wait_ms: 0,
         };
         signals.record_load(load, at);
         signals.record_answer(now - started_at, failed, at);
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -88,6 +88,7 @@
         token: None,
         depth: 0,
         retried: false,
+        from_idle_host: false,
         body: BodyFraming::Empty,
     }
 }
--- a/crates/mustardtiller-wire/src/frame/head.rs
+++ b/crates/mustardtiller-wire/src/frame/head.rs
@@ -114,6 +114,10 @@
     pub depth: u8,
     /// Whether it results from a retry, at this depth or at an outer one.
     pub retried: bool,
+    /// Whether the upstream beside the entry ran nothing when the call came.
+    ///
+    /// Such a call was made by a caller, not by a run.
+    pub from_idle_host: bool,
     /// The body, or how it follows.
     pub body: BodyFraming,
 }
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -13,7 +13,7 @@
 use mustardtiller_core::Verdict;
 
 /// Version of the link protocol that this program implements.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// First frame from the peer that opened the link.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -85,6 +85,8 @@
     pub start_milli: u32,
     /// Time until another request could start by that rate, in milliseconds.
     pub start_wait_ms: u32,
+    /// Time for which to avoid it, since it sheds although it has room, in milliseconds.
+    pub shed_wait_ms: u16,
 }
 
 /// Encoded form of the verdict on a request that was not answered.
--- a/crates/mustardtiller-wire/tests/frame_codec.rs
+++ b/crates/mustardtiller-wire/tests/frame_codec.rs
@@ -42,6 +42,7 @@
             token: None,
             depth: 1,
             retried: false,
+            from_idle_host: false,
             body: BodyFraming::Inline(Bytes::from(body)),
         }),
     }
--- a/crates/mustardtiller/benches/request_path.rs
+++ b/crates/mustardtiller/benches/request_path.rs
@@ -34,6 +34,7 @@
                 announced_leaving: false,
                 start_milli: 0,
                 start_wait_ms: 0,
+                shed_wait_ms: 0,
             };
             candidate.record_load(load, Instant::from_micros(100));
         }
--- /dev/null
+++ b/crates/mustardtiller/src/board/call_sources.rs
@@ -0,0 +1,102 @@
+//! Counts of the gate's requests by kind and by the service that they come from.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use mustardtiller_core::KIND_SLOTS;
+use mustardtiller_core::KindSources;
+use mustardtiller_core::NestedKinds;
+use mustardtiller_core::SOURCE_SLOTS;
+use mustardtiller_core::kind_slot;
+use mustardtiller_core::nested_kinds;
+
+/// Requests of one kind, as atomics.
+#[derive(Debug, Default)]
+struct KindCounts {
+    by_source: [AtomicU32; SOURCE_SLOTS],
+    from_idle_hosts: AtomicU32,
+}
+
+/// Where the gate's requests come from, and which kinds are made by runs.
+///
+/// Each request adds to the counts; the limiter controller evaluates them.
+#[derive(Debug)]
+pub struct SourceCounts {
+    kinds: [KindCounts; KIND_SLOTS],
+    nested: AtomicU64,
+}
+
+impl SourceCounts {
+    /// Create empty counts, by which no kind is known to be made by runs.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            kinds: std::array::from_fn(|_| KindCounts::default()),
+            nested: AtomicU64::new(0),
+        }
+    }
+
+    /// Count a request of a kind.
+    ///
+    /// `from_idle_host` is whether the upstream beside its entry ran nothing.
+    pub fn count(&self, kind_digest: u32, source: &str, from_idle_host: bool) {
+        let kind = &self.kinds[kind_slot(kind_digest)];
+        kind.by_source[source_slot(source)].fetch_add(1, Ordering::Relaxed);
+        if from_idle_host {
+            kind.from_idle_hosts.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Report whether requests of a kind are made by runs.
+    #[must_use]
+    pub fn is_nested(&self, kind_digest: u32) -> bool {
+        NestedKinds(self.nested.load(Ordering::Relaxed)).contains(kind_digest)
+    }
+
+    /// Evaluate the counts. For the limiter controller.
+    ///
+    /// Returns the kinds made by runs, if they have changed.
+    pub fn evaluate(&self) -> Option<NestedKinds> {
+        let kinds = std::array::from_fn(|slot| self.kinds[slot].read());
+        for (counts, read) in self.kinds.iter().zip(&kinds) {
+            if read.is_full() {
+                counts.halve();
+            }
+        }
+        let nested = nested_kinds(&kinds);
+        let before = self.nested.swap(nested.0, Ordering::Relaxed);
+        (before != nested.0).then_some(nested)
+    }
+}
+
+impl Default for SourceCounts {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl KindCounts {
+    fn read(&self) -> KindSources {
+        KindSources {
+            by_source: std::array::from_fn(|slot| self.by_source[slot].load(Ordering::Relaxed)),
+            from_idle_hosts: self.from_idle_hosts.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Halve the counts; a count that is not zero stays so.
+    fn halve(&self) {
+        for count in self.by_source.iter().chain([&self.from_idle_hosts]) {
+            count.fetch_sub(count.load(Ordering::Relaxed) / 2, Ordering::Relaxed);
+        }
+    }
+}
+
+fn source_slot(source: &str) -> usize {
+    let mut hasher = DefaultHasher::new();
+    source.hash(&mut hasher);
+    hasher.finish() as usize % SOURCE_SLOTS
+}
--- a/crates/mustardtiller/src/board/gate/mod.rs
+++ b/crates/mustardtiller/src/board/gate/mod.rs
@@ -13,8 +13,10 @@
 use event_listener::Event;
 
 use crate::board::CallerTable;
+use crate::board::ShedState;
 use crate::board::SlowdownState;
 use crate::board::Snapshot;
+use crate::board::SourceCounts;
 use crate::board::gate::times::AtomicBandTimes;
 use crate::board::gate::times::INITIAL_SERVICE_MICROS;
 use crate::board::gate::times::KIND_BUCKETS;
@@ -34,6 +36,10 @@
     pub callers: Snapshot<CallerTable>,
     /// The upstream's last known slowdown.
     pub slowdown: SlowdownState,
+    /// Whether the upstream sheds although it has room.
+    pub shedding: ShedState,
+    /// Where requests come from, and which kinds are made by runs.
+    pub sources: SourceCounts,
     /// Notified when the upstream starts or stops accepting new requests.
     pub availability: Event,
     /// Rate that the upstream named, in thousandths per second; zero if it named none.
@@ -76,6 +82,8 @@
         Self {
             callers: Snapshot::new(CallerTable::default()),
             slowdown: SlowdownState::default(),
+            shedding: ShedState::default(),
+            sources: SourceCounts::new(),
             availability: Event::new(),
             start_milli: AtomicU32::new(0),
             start_due: AtomicU64::new(0),
--- a/crates/mustardtiller/src/board/gate/report.rs
+++ b/crates/mustardtiller/src/board/gate/report.rs
@@ -51,6 +51,7 @@
             announced_leaving: self.announced_leaving(),
             start_milli: self.start_milli.load(Ordering::SeqCst),
             start_wait_ms: self.start_wait_ms(now),
+            shed_wait_ms: self.shedding.wait_ms(now),
         }
     }
 
--- a/crates/mustardtiller/src/board/gate/starts.rs
+++ b/crates/mustardtiller/src/board/gate/starts.rs
@@ -32,6 +32,7 @@
         self.swap_availability(&self.announced_leaving, false);
         self.replace_start_rate(None, now);
         self.heard_rate.store(false, Ordering::SeqCst);
+        self.shedding.reset();
     }
 
     fn replace_start_rate(&self, rate: Option<StartRate>, now: Instant) -> Option<StartRate> {
--- a/crates/mustardtiller/src/board/mod.rs
+++ b/crates/mustardtiller/src/board/mod.rs
@@ -5,18 +5,21 @@
 //! those snapshots. The documentation of each section names its writers.
 
 mod blackboard;
+mod call_sources;
 mod callers;
 mod candidate;
 mod connection;
 mod gate;
 mod phase;
 mod routes;
+mod shed_state;
 mod signals;
 mod slowdown;
 mod snapshot;
 
 pub use blackboard::Board;
 pub use blackboard::Identity;
+pub use call_sources::SourceCounts;
 pub use callers::CallerTable;
 pub use callers::CallerUsage;
 pub use candidate::Candidate;
@@ -29,6 +32,7 @@
 pub use routes::RouteMatch;
 pub use routes::Routes;
 pub use routes::ServiceRoutes;
+pub use shed_state::ShedState;
 pub use signals::Signals;
 pub use slowdown::SlowdownState;
 pub use snapshot::Snapshot;
--- a/crates/mustardtiller/src/board/signals.rs
+++ b/crates/mustardtiller/src/board/signals.rs
@@ -44,6 +44,8 @@
     start_milli: AtomicU32,
     /// When the named rate allows another request, in microseconds.
     next_start: AtomicU64,
+    /// Until when to avoid the upstream, since it sheds, in microseconds.
+    shed_until: AtomicU64,
 }
 
 impl Signals {
@@ -69,6 +71,7 @@
             announced_leaving: AtomicBool::new(false),
             start_milli: AtomicU32::new(0),
             next_start: AtomicU64::new(0),
+            shed_until: AtomicU64::new(0),
         }
     }
 
@@ -102,6 +105,18 @@
         let next_start = now.plus_micros(u64::from(load.start_wait_ms) * 1_000);
         self.next_start
             .store(next_start.as_micros(), Ordering::Relaxed);
+        let shed_until = match load.shed_wait_ms {
+            0 => Instant::from_micros(0),
+            millis => now.plus_micros(u64::from(millis) * 1_000),
+        };
+        self.shed_until
+            .store(shed_until.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Report whether its gate says that the upstream sheds although it has room.
+    #[must_use]
+    pub fn is_shedding(&self, now: Instant) -> bool {
+        now.as_micros() < self.shed_until.load(Ordering::Relaxed)
     }
 
     /// Return the rate that the upstream named, in thousandths per second; zero if none.
--- a/crates/mustardtiller/src/controllers/limiter.rs
+++ b/crates/mustardtiller/src/controllers/limiter.rs
@@ -49,6 +49,11 @@
                 node.metrics.gauges.slots_filled.set(i64::from(limit));
                 node.admission.wake();
             }
+            if let Some(nested) = gate.sources.evaluate() {
+                let count = nested.0.count_ones();
+                Event::NestedKindsLearned.log(format_args!("{count}"));
+                node.metrics.gauges.nested_kinds.set(i64::from(count));
+            }
             let dropped = node.log_lines.take_dropped();
             if dropped > 0 {
                 Event::LinesDropped.record(&LinesDroppedRecord { lines: dropped });
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -278,6 +278,7 @@
         token: call.token.as_ref().map(WireToken::from),
         depth: call.depth,
         retried: cx.retried,
+        from_idle_host: call.from_idle_host,
         body,
     }
 }
--- a/crates/mustardtiller/src/entry/call.rs
+++ b/crates/mustardtiller/src/entry/call.rs
@@ -39,6 +39,8 @@
     pub depth: u8,
     /// Whether the call stems from a retry at an outer depth.
     pub outer_retry: bool,
+    /// Whether the upstream beside this daemon ran nothing when the call came.
+    pub from_idle_host: bool,
     /// Body.
     pub body: CallBody,
 }
--- a/crates/mustardtiller/src/entry/hedge.rs
+++ b/crates/mustardtiller/src/entry/hedge.rs
@@ -118,6 +118,7 @@
         token: None,
         depth: call.depth,
         outer_retry: call.outer_retry,
+        from_idle_host: call.from_idle_host,
         body: CallBody::Buffered(bytes.clone()),
     })
 }
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -28,6 +28,7 @@
 use mustardtiller_core::RetryReason;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::UpstreamName;
+use mustardtiller_core::may_avoid;
 use mustardtiller_core::reached_upstream;
 use mustardtiller_core::retry_reason;
 
@@ -130,6 +131,24 @@
         .after(history.unknown))
 }
 
+/// Return the upstreams that shed with slots free, if they are few among the service's.
+fn avoided(service: &ServiceRoutes, now: Instant) -> SmallVec<[UpstreamName; 4]> {
+    let shedding = || {
+        let candidates = service.candidates.iter();
+        candidates.filter(|candidate| candidate.signals.is_shedding(now))
+    };
+    if !may_avoid(
+        &service.ejection(),
+        service.candidates.len(),
+        shedding().count(),
+    ) {
+        return SmallVec::new();
+    }
+    shedding()
+        .map(|candidate| candidate.upstream.name.clone())
+        .collect()
+}
+
 /// Return when the first upstream of a service takes another request.
 ///
 /// Returns `None` unless the rates that they named keep all of them from it now.
@@ -175,6 +194,10 @@
     history: &OfferHistory,
     refusal: Refusal,
 ) -> Option<RetryReason> {
+    // A retry after the deadline could only take from the budget of the others.
+    if cx.deadline.has_passed(cx.node.clock.now()) {
+        return None;
+    }
     let has_forecasts = cx.node.settings.discovery.is_some();
     let attempts = if has_forecasts {
         history.reached_attempts
@@ -212,12 +235,13 @@
         ..default_policy
     };
     let excluded = history.excluded(cx.queue_mode);
-    let draw = || {
+    let avoided = avoided(service, cx.node.clock.now());
+    let draw_without = |excluded: &[UpstreamName]| {
         let now = cx.node.clock.now();
         let rng = &mut cx.node.rng();
         pick(
             &service.candidates,
-            &excluded,
+            excluded,
             cx.queue_mode,
             &policy,
             price,
@@ -226,6 +250,11 @@
         )
         .cloned()
     };
+    let draw = || {
+        let mut all = excluded.clone();
+        all.extend(avoided.iter().cloned());
+        draw_without(&all).or_else(|| draw_without(&excluded))
+    };
     if let Some(candidate) = draw() {
         return Some(candidate);
     }
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -119,6 +119,10 @@
     StartRateNamed = 409 Info "upstream named a request rate",
     /// The upstream takes requests without a limit again.
     StartRateEnded = 410 Info "upstream names no request rate",
+    /// The upstream sheds requests although it has room; entries avoid it for a while.
+    UpstreamSheds = 414 Warn "upstream sheds requests with slots free",
+    /// The gate learned which kinds of request are made by runs of others.
+    NestedKindsLearned = 415 Info "kinds of nested calls learned",
     /// A caller's request was malformed.
     RequestMalformed = 500 Info "request malformed",
     /// A call ended without the upstream's answer.
--- a/crates/mustardtiller/src/front/request.rs
+++ b/crates/mustardtiller/src/front/request.rs
@@ -72,6 +72,7 @@
 /// Returns why the request is rejected; nothing of it was sent anywhere.
 pub async fn read_call(node: &Node, req: Request<Incoming>) -> Result<Call, RequestError> {
     let received_at = node.clock.now();
+    let from_idle_host = node.board.gate.in_flight() == 0;
     let host = request_host(&req)?;
     let headers = req.headers();
     if req.method() == Method::CONNECT || headers.contains_key(hyper::header::UPGRADE) {
@@ -113,6 +114,7 @@
         token,
         depth,
         outer_retry,
+        from_idle_host,
         body,
     })
 }
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -128,7 +128,11 @@
         if limit.is_some_and(|limit| gate.try_acquire(limit, node.clock.now())) {
             return Ok(Permit::new(node, caller));
         }
+        let rank = rank_of(node, req);
         node.metrics.count(CounterId::Queued);
+        if rank == WaitRank::Nested {
+            node.metrics.count(CounterId::QueuedNested);
+        }
         let urgency = if req.urgent {
             Urgency::Urgent
         } else {
@@ -138,7 +142,7 @@
         let request = PermitRequest {
             caller,
             urgency,
-            rank: rank_of(node, req),
+            rank,
             kind_digest: req.kind_digest,
             admission: admission_request(req),
             reply,
@@ -153,12 +157,17 @@
 /// Without discovery, priorities are not compared: callers' shares decide there.
 fn rank_of(node: &Node, req: &GateRequest) -> WaitRank {
     match node.settings.discovery {
-        Some(_) if req.depth > 0 => WaitRank::Nested,
+        Some(_) if req.depth > 0 || is_nested(node, req) => WaitRank::Nested,
         Some(_) => WaitRank::Root(req.priority),
         None => WaitRank::Root(0),
     }
 }
 
+/// Report whether a request is of a kind that runs make, as far as the gate has learned.
+fn is_nested(node: &Node, req: &GateRequest) -> bool {
+    node.board.gate.sources.is_nested(req.kind_digest)
+}
+
 /// Return the concurrency limit up to which a request may start at once.
 ///
 /// Returns `None` if the request has to queue.
@@ -313,6 +322,9 @@
     };
     gate.add_waiting(1);
     if let Queued::Refused(rejected) = queue.push(waiter) {
+        if rejected.reason == NotRunReason::Displaced {
+            node.metrics.count(CounterId::Displaced);
+        }
         refuse(node, &rejected.handle, rejected.reason);
     }
 }
--- a/crates/mustardtiller/src/gate/request.rs
+++ b/crates/mustardtiller/src/gate/request.rs
@@ -13,6 +13,10 @@
 use mustardtiller_wire::Header;
 
 /// A request to the upstream beside this daemon.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent properties of a request"
+)]
 #[derive(Debug)]
 pub struct GateRequest {
     /// The caller's name.
@@ -43,6 +47,8 @@
     pub depth: u8,
     /// Whether the request is a retry, or was caused by one.
     pub retried: bool,
+    /// Whether the upstream beside its entry ran nothing when it came.
+    pub from_idle_host: bool,
     /// The body.
     pub body: GateBody,
 }
@@ -76,6 +82,7 @@
             token: self.token.clone(),
             depth: self.depth,
             retried: self.retried,
+            from_idle_host: self.from_idle_host,
             body: GateBody::Buffered(bytes.clone()),
         })
     }
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -83,6 +83,10 @@
     if deadline.has_passed(received_at) {
         return GateAnswer::refused(unsent.refuse(NotRunReason::DeadlinePassed));
     }
+    if node.settings.discovery.is_some() {
+        let sources = &node.board.gate.sources;
+        sources.count(req.kind_digest, &req.caller, req.from_idle_host);
+    }
     let admitted = node.admission.admit(node, &req).await;
     node.metrics
         .record_queue_time(node.clock.now().micros_since(received_at));
@@ -91,6 +95,9 @@
         Ok(permit) => exchange(node, unsent, req, permit).await,
         Err(reason) => GateAnswer::refused(unsent.refuse(reason)),
     };
+    if sent && node.settings.discovery.is_some() {
+        note_shed(node, &answer);
+    }
     // If the request may not wait, its entry offers it to another gate at once and
     // logs the refusal itself.
     let logged_here = sent || queue_mode == QueueMode::Queue;
@@ -105,6 +112,21 @@
     answer
 }
 
+/// Record whether the upstream shed a request, and tell entries if it is to be avoided.
+fn note_shed(node: &Node, answer: &GateAnswer) {
+    let shed = match answer {
+        GateAnswer::Refused(Verdict::NotRun(reason)) => *reason == NotRunReason::UpstreamShed,
+        GateAnswer::Refused(Verdict::Unknown(_)) => return,
+        GateAnswer::Buffered { .. } | GateAnswer::Streamed { .. } => false,
+    };
+    let gate = &node.board.gate;
+    if let Some(share_milli) = gate.shedding.record(shed, node.clock.now()) {
+        node.metrics.count(CounterId::ShedPauses);
+        Event::UpstreamSheds.log(format_args!("{share_milli} of 1000"));
+        gate.slowdown.slow_changed.notify(usize::MAX);
+    }
+}
+
 fn log_refusal(
     node: &Node,
     id: &[u8],
--- a/crates/mustardtiller/src/link/incoming.rs
+++ b/crates/mustardtiller/src/link/incoming.rs
@@ -61,6 +61,7 @@
         token: head.token.as_ref().map(Token::from),
         depth: head.depth,
         retried: head.retried,
+        from_idle_host: head.from_idle_host,
         body,
     }
 }
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -59,6 +59,9 @@
     "Answers repeated from the token ledger" AnswersRepeated = "answers_repeated",
     "Requests admitted by the gate" Admitted = "gate_admitted",
     "Requests that waited in the gate's queue" Queued = "gate_queued",
+    "Requests of nested calls that waited in the gate's queue" QueuedNested = "gate_queued_nested",
+    "Requests that lost their place in the queue to a higher rank" Displaced = "gate_displaced",
+    "Times that the upstream was found to shed with slots free" ShedPauses = "upstream_shed_pauses",
     "Connections made to the upstream" UpstreamConnections = "upstream_connections",
     "Measurements of the upstream's load" Measurements = "measurements",
     "Measurements that failed" MeasurementsFailed = "measurements_failed",
@@ -165,6 +168,8 @@
     pub start_rate_milli: Gauge,
     /// Requests in flight at the gate.
     pub gate_in_flight: Gauge,
+    /// Kinds of request that the gate knows to be made by runs of others.
+    pub nested_kinds: Gauge,
     /// The configuration revision in force.
     pub revision: Gauge,
     /// Registered upstreams.
@@ -202,6 +207,11 @@
             "Requests that the upstream takes, in thousandths a second; zero if not limited",
         );
         let gate_in_flight = gauge(registry, "gate_in_flight", "Requests in flight at the gate");
+        let nested_kinds = gauge(
+            registry,
+            "gate_nested_kinds",
+            "Kinds of request that runs of other requests make, as learned",
+        );
         let revision = gauge(registry, "revision", "The revision in force");
         Self {
             entry_in_flight,
@@ -209,6 +219,7 @@
             task_delay_ms,
             start_rate_milli,
             gate_in_flight,
+            nested_kinds,
             revision,
             registered,
             slots_filled,
