feat(route): offers that follow what gates report

Cause: in a burst a call went through four offers for an immediate start that gates with a queue refuse (15,341 such refusals in four seconds), and only then queued; nested calls with 200 ms in all spent half of it so. Change: load reports carry the expected wait for a slot and the kinds that runs make. Calls to a service of which all gates queue are queued at once; nested calls after one refusal.

--- a/crates/mustardtiller-core/src/route/offer.rs
+++ b/crates/mustardtiller-core/src/route/offer.rs
@@ -11,6 +11,40 @@
     pub queued: u32,
 }
 
+impl OfferRule {
+    /// Return the rule for a service of which `free` upstreams may have a free slot.
+    ///
+    /// Answers a burst that fills a service: an offer for an immediate start to a gate
+    /// that has just reported a queue costs a round trip and is refused.
+    #[must_use]
+    pub const fn with_room(self, free: u32) -> Self {
+        let immediate = if free < self.immediate {
+            free
+        } else {
+            self.immediate
+        };
+        Self { immediate, ..self }
+    }
+
+    /// Return the rule for a call that a run waits for.
+    ///
+    /// It goes first in every queue, and has little time: after one refusal it waits for
+    /// a slot instead of looking for a free one.
+    #[must_use]
+    pub const fn nested(self) -> Self {
+        let offers = self.immediate + self.queued;
+        let immediate = if self.immediate > 1 {
+            1
+        } else {
+            self.immediate
+        };
+        Self {
+            immediate,
+            queued: offers - immediate,
+        }
+    }
+}
+
 /// The remaining offers of one request.
 ///
 /// Only a gate knows the state of its upstream at the instant of the decision,
--- a/crates/mustardtiller-standin/src/lab/fleet.rs
+++ b/crates/mustardtiller-standin/src/lab/fleet.rs
@@ -282,6 +282,8 @@
             start_milli: 0,
             start_wait_ms: 0,
             shed_wait_ms: 0,
+            queue_wait_ms: 0,
+            nested_kinds: 0,
         };
         signals.record_load(load, at);
         signals.record_answer(now - started_at, failed, at);
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -87,6 +87,10 @@
     pub start_wait_ms: u32,
     /// Time for which to avoid it, since it sheds although it has room, in milliseconds.
     pub shed_wait_ms: u16,
+    /// Expected wait of a new request for a slot, in milliseconds.
+    pub queue_wait_ms: u16,
+    /// Kinds of request that runs of other requests make, as a set of slots.
+    pub nested_kinds: u64,
 }
 
 /// Encoded form of the verdict on a request that was not answered.
--- a/crates/mustardtiller/benches/request_path.rs
+++ b/crates/mustardtiller/benches/request_path.rs
@@ -35,6 +35,8 @@
                 start_milli: 0,
                 start_wait_ms: 0,
                 shed_wait_ms: 0,
+                queue_wait_ms: 0,
+                nested_kinds: 0,
             };
             candidate.record_load(load, Instant::from_micros(100));
         }
--- a/crates/mustardtiller/src/board/call_sources.rs
+++ b/crates/mustardtiller/src/board/call_sources.rs
@@ -51,10 +51,10 @@
         }
     }
 
-    /// Report whether requests of a kind are made by runs.
+    /// Return the kinds whose requests are made by runs, as far as they are known.
     #[must_use]
-    pub fn is_nested(&self, kind_digest: u32) -> bool {
-        NestedKinds(self.nested.load(Ordering::Relaxed)).contains(kind_digest)
+    pub fn nested(&self) -> NestedKinds {
+        NestedKinds(self.nested.load(Ordering::Relaxed))
     }
 
     /// Evaluate the counts. For the limiter controller.
--- a/crates/mustardtiller/src/board/gate/report.rs
+++ b/crates/mustardtiller/src/board/gate/report.rs
@@ -54,9 +54,20 @@
             start_milli: self.start_milli.load(Ordering::SeqCst),
             start_wait_ms: self.start_wait_ms(now),
             shed_wait_ms: self.shedding.wait_ms(now),
+            queue_wait_ms: self.queue_wait_ms(),
+            nested_kinds: self.sources.nested().0,
         }
     }
 
+    /// Return the expected wait of a new request for a slot, in milliseconds.
+    fn queue_wait_ms(&self) -> u16 {
+        let limit = self.limit();
+        let excess = (self.in_flight() + self.waiting() + 1).saturating_sub(limit);
+        let mean_micros = u64::from(self.mean_micros.load(Ordering::Relaxed));
+        let micros = u64::from(excess) * mean_micros / u64::from(limit.max(1));
+        u16::try_from(micros / 1_000).unwrap_or(u16::MAX)
+    }
+
     /// Return the time until another request could start by the named rate, in
     /// milliseconds, rounded up.
     fn start_wait_ms(&self, now: Instant) -> u32 {
--- a/crates/mustardtiller/src/board/signals.rs
+++ b/crates/mustardtiller/src/board/signals.rs
@@ -8,6 +8,7 @@
 use mustardtiller_core::Availability;
 use mustardtiller_core::ErrorRate;
 use mustardtiller_core::Instant;
+use mustardtiller_core::NestedKinds;
 use mustardtiller_core::Sample;
 use mustardtiller_wire::LoadReport;
 
@@ -46,6 +47,10 @@
     next_start: AtomicU64,
     /// Until when to avoid the upstream, since it sheds, in microseconds.
     shed_until: AtomicU64,
+    /// When a new request is likely to get a slot, in microseconds.
+    slot_at: AtomicU64,
+    /// Kinds of request that runs make, by the gate's last report.
+    nested_kinds: AtomicU64,
 }
 
 impl Signals {
@@ -72,6 +77,8 @@
             start_milli: AtomicU32::new(0),
             next_start: AtomicU64::new(0),
             shed_until: AtomicU64::new(0),
+            slot_at: AtomicU64::new(0),
+            nested_kinds: AtomicU64::new(0),
         }
     }
 
@@ -111,6 +118,22 @@
         };
         self.shed_until
             .store(shed_until.as_micros(), Ordering::Relaxed);
+        let slot_at = now.plus_micros(u64::from(load.queue_wait_ms) * 1_000);
+        self.slot_at.store(slot_at.as_micros(), Ordering::Relaxed);
+        self.nested_kinds
+            .store(load.nested_kinds, Ordering::Relaxed);
+    }
+
+    /// Return when a new request is likely to get a slot, by the gate's last report.
+    #[must_use]
+    pub fn slot_at(&self) -> Instant {
+        Instant::from_micros(self.slot_at.load(Ordering::Relaxed))
+    }
+
+    /// Return the kinds of request that runs make, as far as the gate knows.
+    #[must_use]
+    pub fn nested_kinds(&self) -> NestedKinds {
+        NestedKinds(self.nested_kinds.load(Ordering::Relaxed))
     }
 
     /// Report whether its gate says that the upstream sheds although it has room.
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -91,7 +91,8 @@
     trace: &mut Trace,
 ) -> Result<Answer, Refusal> {
     let price = FarPrice::of(cx.node, call);
-    let mut offers = Offers::new(offer_rule(cx, call, price));
+    let rule = offer_rule(cx, call, price);
+    let mut offers = Offers::new(rule_for_load(cx, service, rule));
     let mut history = OfferHistory::default();
     // A call that stems from a retry earns no budget; otherwise retries at one depth
     // would pay for retries at the next.
@@ -186,6 +187,23 @@
     }
 }
 
+/// Adapt the offers of a call to what gates have reported.
+fn rule_for_load(cx: AttemptCx<'_>, service: &ServiceRoutes, rule: OfferRule) -> OfferRule {
+    if cx.node.settings.discovery.is_none() {
+        return rule;
+    }
+    let now = cx.node.clock.now();
+    let kind_digest = cx.kind.digest();
+    let (mut free, mut nested) = (0, false);
+    for candidate in &service.candidates {
+        let signals = &candidate.signals;
+        free += u32::from(signals.slot_at() <= now);
+        nested |= signals.nested_kinds().contains(kind_digest);
+    }
+    let rule = rule.with_room(free);
+    if nested { rule.nested() } else { rule }
+}
+
 /// Return the reason to retry a refused call, or `None` if it is final.
 fn reason_to_retry(
     cx: AttemptCx<'_>,
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -165,7 +165,7 @@
 
 /// Report whether a request is of a kind that runs make, as far as the gate has learned.
 fn is_nested(node: &Node, req: &GateRequest) -> bool {
-    node.board.gate.sources.is_nested(req.kind_digest)
+    node.board.gate.sources.nested().contains(req.kind_digest)
 }
 
 /// Return the concurrency limit up to which a request may start at once.
