feat(front): an order of return for refused callers

Cause: refused callers were told to come back after 20 to 60 ms whatever the reason, so that those of an outage used up their retries in it. Change: a caller that can still be in time comes back when a gate expects a free slot; the others, and all if no place is known, spread over a sixth of their time, at most a third away.

--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod health;
 mod offer;
+mod return_time;
 mod sample;
 mod split;
 mod subset;
@@ -17,6 +18,8 @@
 pub use health::may_eject;
 pub use offer::OfferRule;
 pub use offer::Offers;
+pub use return_time::RefusedCall;
+pub use return_time::ReturnWindow;
 pub use sample::Availability;
 pub use sample::Sample;
 pub use split::Splitter;
--- a/crates/mustardtiller/src/entry/call.rs
+++ b/crates/mustardtiller/src/entry/call.rs
@@ -11,6 +11,7 @@
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Refusal;
+use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::Token;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_wire::AnswerHead;
@@ -76,8 +77,8 @@
     Refused {
         /// Why, and whether the call may have run.
         refusal: Refusal,
-        /// When an upstream takes the next request, if all named a rate.
-        return_at: Option<Instant>,
+        /// When the caller should come back, if that is known.
+        return_window: Option<ReturnWindow>,
     },
 }
 
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -42,7 +42,7 @@
             node.metrics.count_refusal(refusal);
             Outcome::Refused {
                 refusal,
-                return_at: trace.return_at(),
+                return_window: trace.return_window(),
             }
         }
     }
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -24,8 +24,10 @@
 use mustardtiller_core::Policy;
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Refusal;
+use mustardtiller_core::RefusedCall;
 use mustardtiller_core::RetryContext;
 use mustardtiller_core::RetryReason;
+use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::may_avoid;
@@ -118,13 +120,13 @@
         offers.record_refusal(queue_mode);
         history.record_refusal(&candidate.upstream.name, queue_mode, refusal);
         let Some(reason) = reason_to_retry(cx, service, call, &history, refusal) else {
-            trace.note_return(earliest_start(service, cx.node.clock.now()));
+            trace.note_return(return_window(cx, service));
             return Err(refusal.after(history.unknown));
         };
         cx.node.metrics.count_retry(reason);
         cx.retried |= reached_upstream(refusal);
     }
-    trace.note_return(earliest_start(service, cx.node.clock.now()));
+    trace.note_return(return_window(cx, service));
     let no_upstream = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
     Err(history
         .last_refusal
@@ -150,18 +152,29 @@
         .collect()
 }
 
-/// Return when the first upstream of a service takes another request.
-///
-/// Returns `None` unless the rates that they named keep all of them from it now.
-fn earliest_start(service: &ServiceRoutes, now: Instant) -> Option<Instant> {
-    let live = service
-        .candidates
-        .iter()
-        .filter(|candidate| candidate.sample(now).availability == Availability::Live);
-    let starts: Option<SmallVec<[Instant; 16]>> = live
-        .map(|candidate| candidate.signals.next_start(now))
-        .collect();
-    starts?.into_iter().min()
+/// Return when the caller of a refused call should come back.
+fn return_window(cx: AttemptCx<'_>, service: &ServiceRoutes) -> ReturnWindow {
+    let now = cx.node.clock.now();
+    let live = || {
+        let candidates = service.candidates.iter();
+        candidates.filter(|candidate| candidate.sample(now).availability == Availability::Live)
+    };
+    let place_at = live().map(|candidate| place_at(candidate, now)).min();
+    let latency = live().map(|candidate| candidate.signals.latency_micros());
+    let refused = RefusedCall {
+        now,
+        service_micros: u64::from(latency.max().unwrap_or_default()),
+        target: cx.target,
+        deadline: cx.deadline,
+    };
+    refused.return_window(place_at)
+}
+
+/// Return when an upstream is likely to take another request, by its gate's last report.
+fn place_at(candidate: &Candidate, now: Instant) -> Instant {
+    let signals = &candidate.signals;
+    let start_at = signals.next_start(now).unwrap_or(now);
+    start_at.max(signals.slot_at())
 }
 
 fn offer_rule(cx: AttemptCx<'_>, call: &Call, price: FarPrice) -> OfferRule {
--- a/crates/mustardtiller/src/entry/trace.rs
+++ b/crates/mustardtiller/src/entry/trace.rs
@@ -18,6 +18,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Refusal;
+use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::ServiceName;
 
 /// Lowest status that counts as an upstream error.
@@ -46,7 +47,7 @@
     target: Option<Deadline>,
     deadline: Option<Deadline>,
     offers: SmallVec<[OfferTrace; 5]>,
-    return_at: Option<Instant>,
+    return_window: Option<ReturnWindow>,
 }
 
 impl Trace {
@@ -64,15 +65,15 @@
         self.deadline = Some(deadline);
     }
 
-    /// Record when the caller may come back, if that is known.
-    pub const fn note_return(&mut self, at: Option<Instant>) {
-        self.return_at = at;
+    /// Record when the caller should come back.
+    pub const fn note_return(&mut self, window: ReturnWindow) {
+        self.return_window = Some(window);
     }
 
-    /// Return when the caller may come back, if that is known.
+    /// Return when the caller should come back, if that is known.
     #[must_use]
-    pub const fn return_at(&self) -> Option<Instant> {
-        self.return_at
+    pub const fn return_window(&self) -> Option<ReturnWindow> {
+        self.return_window
     }
 
     /// Record an offer with the candidate's signals, and return its index.
--- a/crates/mustardtiller/src/front/answer.rs
+++ b/crates/mustardtiller/src/front/answer.rs
@@ -27,7 +27,10 @@
     guard: EntryRequestGuard,
 ) -> Response<AnswerStream> {
     let mut response = match outcome {
-        Outcome::Refused { refusal, return_at } => refusal_response(node, refusal, return_at),
+        Outcome::Refused {
+            refusal,
+            return_window,
+        } => refusal_response(node, refusal, return_window),
         Outcome::Answered(answer) => answer_response(node, answer, guard),
     };
     if let Some(token) = token {
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -8,6 +8,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
+use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::UnknownReason;
 
 /// Header that says whether the request ran: `answered`, `not-run` or `unknown`.
@@ -37,11 +38,11 @@
 ///
 /// The body is JSON: `{"outcome":"not-run","reason":"queue-full"}`.
 ///
-/// `return_at` is when an upstream takes the next request, if that is known.
+/// `window` is when the caller should come back, if that is known.
 pub fn refusal_response(
     node: &Node,
     refusal: Refusal,
-    return_at: Option<Instant>,
+    window: Option<ReturnWindow>,
 ) -> Response<AnswerStream> {
     let (class, reason) = (refusal.class_text(), refusal.reason_text());
     let body = format!("{{\"outcome\":\"{class}\",\"reason\":\"{reason}\"}}\n");
@@ -52,12 +53,18 @@
         .header(RETRY_HEADER, "no")
         .header("content-type", "application/json");
     if may_succeed_later(refusal) {
-        let wait_ms = return_at.map_or(0, |at| at.micros_since(node.clock.now()) / 1_000);
+        let now = node.clock.now();
+        let wait_ms = |at: Instant| at.micros_since(now) / 1_000;
         builder = if node.dialect.fractional_retry_after {
-            let millis = node.rng().u64(MIN_RETRY_AFTER_MS..=MAX_RETRY_AFTER_MS) + wait_ms;
+            let (from_ms, until_ms) = window
+                .map_or((MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS), |window| {
+                    (wait_ms(window.from), wait_ms(window.until))
+                });
+            let millis = node.rng().u64(from_ms..=until_ms);
             let seconds = millis as f64 / MILLIS_PER_SECOND;
             builder.header("retry-after", seconds.to_string())
         } else {
+            let wait_ms = window.map_or(0, |window| wait_ms(window.from));
             let seconds = wait_ms.div_ceil(MILLIS_PER_SECOND as u64);
             builder.header("retry-after", seconds.max(RETRY_AFTER_S))
         };
