--- a/crates/mustardtiller/src/entry/call.rs
+++ b/crates/mustardtiller/src/entry/call.rs
@@ -11,6 +11,7 @@
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Refusal;
+use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::Token;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_wire::AnswerHead;
@@ -39,6 +40,8 @@
     pub depth: u8,
     /// Whether the call stems from a retry at an outer depth.
     pub outer_retry: bool,
+    /// Whether the upstream beside this daemon ran nothing when the call came.
+    pub from_idle_host: bool,
     /// Body.
     pub body: CallBody,
 }
@@ -74,8 +77,8 @@
     Refused {
         /// Why, and whether the call may have run.
         refusal: Refusal,
-        /// When an upstream takes the next request, if all named a rate.
-        return_at: Option<Instant>,
+        /// When the caller should come back, if that is known.
+        return_window: Option<ReturnWindow>,
     },
 }
 
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -25,11 +25,14 @@
 use mustardtiller_core::Policy;
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Refusal;
+use mustardtiller_core::RefusedCall;
 use mustardtiller_core::RetryContext;
 use mustardtiller_core::RetryReason;
+use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::is_misplaced;
+use mustardtiller_core::may_avoid;
 use mustardtiller_core::reached_upstream;
 use mustardtiller_core::retry_reason;
 
@@ -98,7 +101,8 @@
 ) -> Result<Answer, Refusal> {
     let mut service = Arc::clone(service);
     let price = FarPrice::of(cx.node, call);
-    let mut offers = Offers::new(offer_rule(cx, call, price));
+    let rule = offer_rule(cx, call, price);
+    let mut offers = Offers::new(rule_for_load(cx, &service, rule));
     let mut history = OfferHistory::default();
     // A call that stems from a retry earns no budget; otherwise retries at one depth
     // would pay for retries at the next.
@@ -126,14 +130,14 @@
         }
         history.record_refusal(&candidate.upstream.name, queue_mode, refusal);
         let Some(reason) = reason_to_retry(cx, &service, call, &history, refusal) else {
-            trace.note_return(earliest_start(&service, cx.node.clock.now()));
+            trace.note_return(return_window(cx, &service));
             return Err(refusal.after(history.unknown));
         };
         cx.node.metrics.count_retry(reason);
         cx.retried |= reached_upstream(refusal);
         service = renew_service(cx.node, call, service);
     }
-    trace.note_return(earliest_start(&service, cx.node.clock.now()));
+    trace.note_return(return_window(cx, &service));
     let no_upstream = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
     Err(history
         .last_refusal
@@ -151,18 +155,47 @@
     renewed.unwrap_or(service)
 }
 
-/// Return when the first upstream of a service takes another request.
-///
-/// Returns `None` unless the rates that they named keep all of them from it now.
-fn earliest_start(service: &ServiceRoutes, now: Instant) -> Option<Instant> {
-    let live = service
-        .candidates
-        .iter()
-        .filter(|candidate| candidate.sample(now).availability == Availability::Live);
-    let starts: Option<SmallVec<[Instant; 16]>> = live
-        .map(|candidate| candidate.signals.next_start(now))
-        .collect();
-    starts?.into_iter().min()
+/// Return the upstreams that shed with slots free, if they are few among the service's.
+fn avoided(service: &ServiceRoutes, now: Instant) -> SmallVec<[UpstreamName; 4]> {
+    let shedding = || {
+        let candidates = service.candidates.iter();
+        candidates.filter(|candidate| candidate.signals.is_shedding(now))
+    };
+    if !may_avoid(
+        &service.ejection(),
+        service.candidates.len(),
+        shedding().count(),
+    ) {
+        return SmallVec::new();
+    }
+    shedding()
+        .map(|candidate| candidate.upstream.name.clone())
+        .collect()
+}
+
+/// Return when the caller of a refused call should come back.
+fn return_window(cx: AttemptCx<'_>, service: &ServiceRoutes) -> ReturnWindow {
+    let now = cx.node.clock.now();
+    let live = || {
+        let candidates = service.candidates.iter();
+        candidates.filter(|candidate| candidate.sample(now).availability == Availability::Live)
+    };
+    let place_at = live().map(|candidate| place_at(candidate, now)).min();
+    let latency = live().map(|candidate| candidate.signals.latency_micros());
+    let refused = RefusedCall {
+        now,
+        service_micros: u64::from(latency.max().unwrap_or_default()),
+        target: cx.target,
+        deadline: cx.deadline,
+    };
+    refused.return_window(place_at)
+}
+
+/// Return when an upstream is likely to take another request, by its gate's last report.
+fn place_at(candidate: &Candidate, now: Instant) -> Instant {
+    let signals = &candidate.signals;
+    let start_at = signals.next_start(now).unwrap_or(now);
+    start_at.max(signals.slot_at())
 }
 
 fn offer_rule(cx: AttemptCx<'_>, call: &Call, price: FarPrice) -> OfferRule {
@@ -188,6 +221,23 @@
     }
 }
 
+/// Adapt the offers of a call to what gates have reported.
+fn rule_for_load(cx: AttemptCx<'_>, service: &ServiceRoutes, rule: OfferRule) -> OfferRule {
+    if cx.node.settings.discovery.is_none() {
+        return rule;
+    }
+    let now = cx.node.clock.now();
+    let kind_digest = cx.kind.digest();
+    let (mut free, mut nested) = (0, false);
+    for candidate in &service.candidates {
+        let signals = &candidate.signals;
+        free += u32::from(signals.slot_at() <= now);
+        nested |= signals.nested_kinds().contains(kind_digest);
+    }
+    let rule = rule.with_room(free);
+    if nested { rule.nested() } else { rule }
+}
+
 /// Return the reason to retry a refused call, or `None` if it is final.
 fn reason_to_retry(
     cx: AttemptCx<'_>,
@@ -196,6 +246,10 @@
     history: &OfferHistory,
     refusal: Refusal,
 ) -> Option<RetryReason> {
+    // A retry after the deadline could only take from the budget of the others.
+    if cx.deadline.has_passed(cx.node.clock.now()) {
+        return None;
+    }
     let has_forecasts = cx.node.settings.discovery.is_some();
     let attempts = if has_forecasts {
         history.reached_attempts
@@ -234,12 +288,13 @@
         ..default_policy
     };
     let excluded = history.excluded(cx.queue_mode);
-    let draw = || {
+    let avoided = avoided(service, cx.node.clock.now());
+    let draw_without = |excluded: &[UpstreamName]| {
         let now = cx.node.clock.now();
         let rng = &mut cx.node.rng();
         pick(
             &service.candidates,
-            &excluded,
+            excluded,
             cx.queue_mode,
             &policy,
             price,
@@ -248,6 +303,11 @@
         )
         .cloned()
     };
+    let draw = || {
+        let mut all = excluded.clone();
+        all.extend(avoided.iter().cloned());
+        draw_without(&all).or_else(|| draw_without(&excluded))
+    };
     if let Some(candidate) = draw() {
         return Some(candidate);
     }
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -129,6 +129,10 @@
     UpstreamCold = 411 Info "upstream cold",
     /// The upstream says that it is warm again.
     UpstreamWarm = 412 Info "upstream warm",
+    /// The upstream sheds requests although it has room; entries avoid it for a while.
+    UpstreamSheds = 414 Warn "upstream sheds requests with slots free",
+    /// The gate learned which kinds of request are made by runs of others.
+    NestedKindsLearned = 415 Info "kinds of nested calls learned",
     /// A caller's request was malformed.
     RequestMalformed = 500 Info "request malformed",
     /// A call ended without the upstream's answer.
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -26,6 +26,7 @@
 use mustardtiller_core::Queued;
 use mustardtiller_core::Urgency;
 use mustardtiller_core::WaitQueue;
+use mustardtiller_core::WaitRank;
 use mustardtiller_core::Waiter;
 
 /// Capacity of the wait queue for each slot.
@@ -69,6 +70,7 @@
 struct PermitRequest {
     caller: Arc<CallerUsage>,
     urgency: Urgency,
+    rank: WaitRank,
     kind_digest: u32,
     admission: AdmissionRequest,
     reply: Sender<Result<Permit, NotRunReason>>,
@@ -127,7 +129,11 @@
         if limit.is_some_and(|limit| gate.try_acquire(limit, node.clock.now())) {
             return Ok(Permit::new(node, caller));
         }
+        let rank = rank_of(node, req);
         node.metrics.count(CounterId::Queued);
+        if rank == WaitRank::Nested {
+            node.metrics.count(CounterId::QueuedNested);
+        }
         let urgency = if req.urgent {
             Urgency::Urgent
         } else {
@@ -137,6 +143,7 @@
         let request = PermitRequest {
             caller,
             urgency,
+            rank,
             kind_digest: req.kind_digest,
             admission: admission_request(req),
             reply,
@@ -146,6 +153,22 @@
     }
 }
 
+/// Return the rank of a request in the wait queue.
+///
+/// Without discovery, priorities are not compared: callers' shares decide there.
+fn rank_of(node: &Node, req: &GateRequest) -> WaitRank {
+    match node.settings.discovery {
+        Some(_) if req.depth > 0 || is_nested(node, req) => WaitRank::Nested,
+        Some(_) => WaitRank::Root(req.priority),
+        None => WaitRank::Root(0),
+    }
+}
+
+/// Report whether a request is of a kind that runs make, as far as the gate has learned.
+fn is_nested(node: &Node, req: &GateRequest) -> bool {
+    node.board.gate.sources.nested().contains(req.kind_digest)
+}
+
 /// Return the concurrency limit up to which a request may start at once.
 ///
 /// Returns `None` if the request has to queue.
@@ -276,10 +299,15 @@
     queue.set_capacity(capacity as usize);
     let forecast = gate.forecast(request.kind_digest, node.clock.now());
     let target = request.admission.target.instant();
-    let start_by = Deadline::at(target.minus_micros(forecast.service_micros));
+    let likely_micros = match node.settings.discovery {
+        Some(_) => forecast.service_micros + forecast.spread_micros,
+        None => forecast.service_micros,
+    };
+    let start_by = Deadline::at(target.minus_micros(likely_micros));
     let last_start = request.admission.deadline.instant();
     let last_start = last_start.minus_micros(forecast.min_service_micros());
-    let ahead = queue.ahead_of(start_by);
+    queue.note_offered(request.rank);
+    let ahead = queue.ahead_of(request.rank, start_by);
     if let Admission::Refuse(reason) = decide(node, &forecast, &request.admission, ahead) {
         // The send fails only if the requester is gone.
         let _ = request.reply.try_send(Err(reason));
@@ -289,6 +317,7 @@
         caller: request.caller.name.clone(),
         weight: request.caller.share,
         urgency: request.urgency,
+        rank: request.rank,
         start_by,
         deadline: Deadline::at(last_start),
         handle: WaiterHandle {
@@ -301,6 +330,9 @@
     };
     gate.add_waiting(1);
     if let Queued::Refused(rejected) = queue.push(waiter) {
+        if rejected.reason == NotRunReason::Displaced {
+            node.metrics.count(CounterId::Displaced);
+        }
         refuse(node, &rejected.handle, rejected.reason);
     }
 }
