feat(gate): a reading holds for two seconds and a few starts

Cause: the starts since a reading bound what a cold upstream gets, at any age; half a second only made idle and rarely probed upstreams count as unknown more often.

Change: the age bound is two seconds.

--- a/crates/mustardtiller-core/src/admit/cold.rs
+++ b/crates/mustardtiller-core/src/admit/cold.rs
@@ -4,7 +4,10 @@
 use crate::StartRate;
 
 /// Age from which a reading no longer shows that the upstream is warm, in microseconds.
-const MAX_READING_AGE_MICROS: u64 = 500_000;
+///
+/// The starts since a reading bound what a cold upstream gets; the age only bounds how
+/// long a gate believes what it has not seen confirmed.
+const MAX_READING_AGE_MICROS: u64 = 2_000_000;
 
 /// Starts after a reading that are allowed at any rate.
 const UNREAD_STARTS: u32 = 3;
