feat(link): replace a silent link within its usual time, and send again what was not read

Cause: a connection whose packets are dropped was noticed after four rounds of 250 ms. Every request on it waited for that, and ended as unknown although its gate had never read it.

Change: Suspicion (core) pings a link on which nothing came for the usual time of an answer and 30 ms; without a reply the entry opens a second link. A gate that answers there proves the first one dead. It is asked what it has read of the first one, reads no more of it, and states the streams (Disown, Disowned; Hello names the link). What it had not read is sent again on the second link, also an order; what it had read is told as before. When one link has proved silent, all others are pinged. Requests with a token that were lost with their link stay unknown unless their gate runs them.

Red before: silent_links, orders_on_links_that_go_silent_are_run: order 0: (unknown, link-silent) after 887 ms.

--- /dev/null
+++ b/crates/mustardtiller-core/src/silence/suspicion.rs
@@ -0,0 +1,102 @@
+//! Suspicion of a link on which nothing comes within the usual time.
+
+use crate::Deadline;
+use crate::Instant;
+
+/// Waits of [`Suspicion`].
+#[derive(Clone, Copy, Debug)]
+pub struct SuspicionRule {
+    /// Time without a frame beyond the usual time of an answer, in milliseconds.
+    pub grace_ms: u64,
+    /// Longest time that counts as usual, in milliseconds.
+    pub max_usual_ms: u64,
+    /// Time between two looks for the reply to a ping, in milliseconds.
+    pub look_ms: u64,
+    /// Looks without a frame after which the link is suspected.
+    pub looks: u32,
+}
+
+impl Default for SuspicionRule {
+    fn default() -> Self {
+        Self {
+            grace_ms: 30,
+            max_usual_ms: 60,
+            look_ms: 10,
+            looks: 2,
+        }
+    }
+}
+
+/// What to do about a link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SuspicionEffect {
+    /// Look again then.
+    Wait(Deadline),
+    /// Ping the peer, and look again then.
+    Ping(Deadline),
+    /// Open a second link, to learn whether the peer answers there.
+    Suspect,
+}
+
+/// Whether a link in use has gone silent, judged within tens of milliseconds.
+///
+/// It answers the load pattern of a network that drops the packets of connections that
+/// are open: each request on such a link would wait until it is closed for silence. A
+/// suspected link is not closed; only a peer that answers elsewhere proves it dead.
+///
+/// Looks are counted, not timed: a process that was paused reads the frames that came
+/// meanwhile before its next look.
+#[derive(Clone, Copy, Debug)]
+pub struct Suspicion {
+    frames: u64,
+    since: Instant,
+    looks: Option<u32>,
+}
+
+impl Suspicion {
+    /// Begin when a link comes into use, with the number of frames received so far.
+    #[must_use]
+    pub const fn begin(frames: u64, now: Instant) -> Self {
+        Self {
+            frames,
+            since: now,
+            looks: None,
+        }
+    }
+
+    /// Look at the link, and return what to do.
+    ///
+    /// `usual_micros` is the usual time of an answer; zero asks for a ping now.
+    pub fn step(
+        &mut self,
+        rule: &SuspicionRule,
+        frames: u64,
+        usual_micros: u64,
+        now: Instant,
+    ) -> SuspicionEffect {
+        if frames != self.frames {
+            *self = Self::begin(frames, now);
+        }
+        let next_look = Deadline::in_millis(now, rule.look_ms);
+        match &mut self.looks {
+            Some(looks) => {
+                *looks += 1;
+                if *looks >= rule.looks {
+                    SuspicionEffect::Suspect
+                } else {
+                    SuspicionEffect::Wait(next_look)
+                }
+            }
+            None => {
+                let usual = usual_micros.min(rule.max_usual_ms * 1_000);
+                let grace = if usual == 0 { 0 } else { rule.grace_ms * 1_000 };
+                let due = Deadline::at(self.since.plus_micros(usual + grace));
+                if !due.has_passed(now) {
+                    return SuspicionEffect::Wait(due);
+                }
+                self.looks = Some(0);
+                SuspicionEffect::Ping(next_look)
+            }
+        }
+    }
+}
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -41,6 +41,7 @@
 
 fn hello(version: u16, upstream: &str) -> Frame {
     Frame::Hello(Hello {
+        link_id: 0,
         version,
         incarnation: 7,
         upstream: upstream.to_owned(),
--- a/crates/mustardtiller-standin/tests/silent_links.rs
+++ b/crates/mustardtiller-standin/tests/silent_links.rs
@@ -132,3 +132,17 @@
         "{slow} of 200 requests went to the slow upstream"
     );
 }
+
+#[test]
+fn orders_on_links_that_go_silent_are_run() {
+    let fleet = Fleet::start_piped();
+    for number in 0..10 {
+        // The links made since the last time go silent too.
+        for pipe in &fleet.pipes {
+            pipe.silence_open();
+        }
+        let answer = fleet.call(0, &order(&format!("s{number}"), None));
+        let outcome = (answer.outcome(), answer.reason());
+        assert_eq!(outcome.0, "answered", "order {number}: {outcome:?}");
+    }
+}
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -15,6 +15,24 @@
 /// Version of the link protocol that this program implements.
 pub const PROTOCOL_VERSION: u16 = 6;
 
+/// The streams whose heads were read from a link.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ReadStreams {
+    /// All streams below this number were read.
+    pub below: u32,
+    /// Further streams that were read.
+    pub others: Vec<u32>,
+}
+
+impl ReadStreams {
+    /// Report whether the head of a stream was read.
+    #[must_use]
+    pub fn contains(&self, stream: u32) -> bool {
+        stream < self.below || self.others.contains(&stream)
+    }
+}
+
 /// First frame from the peer that opened the link.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -23,6 +41,8 @@
     pub version: u16,
     /// The incarnation of the sender.
     pub incarnation: u128,
+    /// Random number of the link, by which the sender can disown it on another link.
+    pub link_id: u64,
     /// The upstream that the sender expects to reach.
     pub upstream: String,
     /// The address at which the sender accepts links and gossip.
@@ -248,4 +268,16 @@
     },
     /// The gate is leaving and accepts only requests that carry its tokens.
     GoAway,
+    /// The entry gives up another of its links, which has gone silent.
+    Disown {
+        /// The random number of that link.
+        link_id: u64,
+    },
+    /// Answers a `Disown`: the gate reads no more of that link.
+    Disowned {
+        /// The random number of that link.
+        link_id: u64,
+        /// What it had read, or `None` if it doesn't know any more.
+        read: Option<ReadStreams>,
+    },
 }
--- a/crates/mustardtiller-wire/src/frame/mod.rs
+++ b/crates/mustardtiller-wire/src/frame/mod.rs
@@ -12,6 +12,7 @@
 pub use message::Hello;
 pub use message::LoadReport;
 pub use message::PROTOCOL_VERSION;
+pub use message::ReadStreams;
 pub use message::UpstreamNotice;
 pub use message::Welcome;
 pub use message::WireVerdict;
--- a/crates/mustardtiller-wire/src/lib.rs
+++ b/crates/mustardtiller-wire/src/lib.rs
@@ -37,6 +37,7 @@
 pub use frame::Hello;
 pub use frame::LoadReport;
 pub use frame::PROTOCOL_VERSION;
+pub use frame::ReadStreams;
 pub use frame::RequestHead;
 pub use frame::UpstreamNotice;
 pub use frame::Welcome;
--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -23,6 +23,7 @@
 use crate::gate::LedgerHandle;
 use crate::gate::LoadProbeHandle;
 use crate::http::Dialect;
+use crate::link::LinkDirectory;
 use crate::link::maintain_link;
 use crate::metrics::CounterId;
 use crate::metrics::Metrics;
@@ -78,6 +79,10 @@
     pub pool: UpstreamPool,
     /// Notified when the configured slots may have changed.
     pub limits_changed: Signal,
+    /// Notified when a link has proved silent: others may have gone silent with it.
+    pub link_silent: Signal,
+    /// The links that this daemon's gate serves.
+    pub links: LinkDirectory,
     /// Rate limit of log lines about requests.
     pub log_lines: LogLineBudget,
     executor: Arc<Executor<'static>>,
@@ -103,6 +108,8 @@
             ledger: LedgerHandle::new(),
             pool: UpstreamPool::new(),
             limits_changed: Signal::new(),
+            link_silent: Signal::new(),
+            links: LinkDirectory::default(),
             executor: parts.executor,
             seed: AtomicU64::new(parts.seed),
             sequence: AtomicU64::new(0),
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -18,6 +18,7 @@
 use crate::link::Reply;
 use crate::link::StreamDeadlines;
 use mustardtiller_config::Kind;
+use mustardtiller_core::Attempt;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::NotRun;
 use mustardtiller_core::NotRunReason;
@@ -89,6 +90,9 @@
 
 /// Run a call on one upstream.
 ///
+/// If its link goes silent and the gate states on a second link that it never read the
+/// request, the request is sent once more, on the second link.
+///
 /// # Errors
 ///
 /// Returns why there is no answer. Once an attempt has begun to read a streamed
@@ -98,6 +102,28 @@
     unsent: Unsent,
     candidate: &Arc<Candidate>,
     call: &mut Call,
+) -> Result<Answer, AttemptError> {
+    match attempt_on_link(cx, unsent, candidate, call).await {
+        Err(AttemptError::Refused(refusal)) if was_never_read(refusal) => {
+            attempt_on_link(cx, Attempt::begin(), candidate, call).await
+        }
+        result => result,
+    }
+}
+
+/// Report whether a request was lost with its link before the gate read it.
+fn was_never_read(refusal: Refusal) -> bool {
+    match refusal {
+        Refusal::NotRun(not_run) => not_run.reason() == NotRunReason::Unreachable,
+        Refusal::Unknown(_) => false,
+    }
+}
+
+async fn attempt_on_link(
+    cx: AttemptCx<'_>,
+    unsent: Unsent,
+    candidate: &Arc<Candidate>,
+    call: &mut Call,
 ) -> Result<Answer, AttemptError> {
     let now = cx.node.clock.now();
     if cx.deadline.has_passed(now) {
--- a/crates/mustardtiller/src/entry/bound.rs
+++ b/crates/mustardtiller/src/entry/bound.rs
@@ -44,13 +44,14 @@
 
 /// Report whether the gate checked the token before it refused.
 ///
-/// A full link and a gate of another upstream refuse before that check.
+/// A full link and a gate of another upstream refuse before that check, and a request
+/// that was lost with its link never reached it.
 const fn checked_token(refusal: Refusal) -> bool {
     match refusal {
         Refusal::Unknown(_) => true,
         Refusal::NotRun(not_run) => !matches!(
             not_run.reason(),
-            NotRunReason::LinkFull | NotRunReason::WrongUpstream
+            NotRunReason::LinkFull | NotRunReason::WrongUpstream | NotRunReason::Unreachable
         ),
     }
 }
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -11,6 +12,7 @@
 use async_channel::Sender;
 use async_channel::unbounded;
 use event_listener::Event;
+use event_listener::EventListener;
 
 use super::credit::SendCredit;
 use super::inbox::inbox;
@@ -29,6 +31,7 @@
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::Unsent;
 use mustardtiller_wire::Frame;
+use mustardtiller_wire::ReadStreams;
 use mustardtiller_wire::RequestHead;
 
 /// Streams that may be open on one link at once.
@@ -77,6 +80,12 @@
     silent: AtomicBool,
     going_away: AtomicBool,
     gate_incarnation: Incarnation,
+    /// Random number by which the gate knows the link.
+    id: u64,
+    /// Notified when a stream is opened.
+    pub(super) opened: Event,
+    /// What the gate has read of a link that was disowned.
+    read: OnceLock<ReadStreams>,
     offset: ArcSwap<ClockOffset>,
 }
 
@@ -85,6 +94,7 @@
     pub(super) fn new(
         write_queue: WriteQueue,
         gate_incarnation: Incarnation,
+        id: u64,
         sample: ClockSample,
     ) -> (Self, StreamTable) {
         let (registrations, rx) = unbounded();
@@ -103,6 +113,9 @@
             silent: AtomicBool::new(false),
             going_away: AtomicBool::new(false),
             gate_incarnation,
+            id,
+            opened: Event::new(),
+            read: OnceLock::new(),
             offset: ArcSwap::from_pointee(offset),
         };
         (handle, StreamTable::new(rx))
@@ -257,6 +270,28 @@
         self.registrations.closed().await;
     }
 
+    /// Return the random number by which the gate knows the link.
+    pub(super) const fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Listen for the next frame from the gate.
+    pub(super) fn frame_received(&self) -> EventListener {
+        self.frame_received.listen()
+    }
+
+    /// Record what the gate had read when the link was disowned.
+    ///
+    /// It reads no more, so that a request that it has not read never runs.
+    pub(super) fn note_read(&self, read: ReadStreams) {
+        let _ = self.read.set(read);
+    }
+
+    /// Report whether the gate has stated that it never read the stream's head.
+    pub(super) fn is_unread(&self, stream: u32) -> bool {
+        self.read.get().is_some_and(|read| !read.contains(stream))
+    }
+
     /// Return the reason reported for requests lost with the link.
     pub(super) fn lost_reason(&self) -> UnknownReason {
         if self.silent.load(Ordering::SeqCst) {
@@ -287,6 +322,7 @@
         // If the table is closed, `inbox_tx` is dropped and the stream sees the link
         // as lost.
         let _ = self.registrations.try_send(registration);
+        self.opened.notify(usize::MAX);
         ClientStream::new(Arc::clone(self), stream, inbox, credit)
     }
 
--- a/crates/mustardtiller/src/link/connector.rs
+++ b/crates/mustardtiller/src/link/connector.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use smol::future;
 use smol::net::TcpStream;
 
 use super::client::LinkHandle;
+use super::guard::replace_silent;
 use super::handshake;
 use super::handshake::HandshakeError;
 use super::reader::ReadError;
@@ -16,8 +18,10 @@
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::metrics::CounterId;
+use mustardtiller_core::ClockSample;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Incarnation;
+use mustardtiller_wire::Welcome;
 
 /// Time to connect and complete the handshake, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -34,9 +38,12 @@
     let mut rng = node.rng();
     while !candidate.link_slot.is_retired() {
         match connect(&node, &candidate).await {
-            Ok((link, table, reader)) => {
+            Ok(connected) => {
                 failures = 0;
-                run_link(&node, &candidate, link, table, reader).await;
+                let mut next = Some(start_link(&node, &candidate, connected));
+                while let Some(running) = next {
+                    next = run_link(&node, &candidate, running).await;
+                }
             }
             Err(e) => {
                 node.metrics.count(CounterId::LinksFailed);
@@ -53,10 +60,27 @@
     }
 }
 
-async fn connect(
+/// A connection whose handshake is complete.
+pub(super) struct Connected {
+    pub(super) socket: TcpStream,
+    pub(super) reader: SocketReader,
+    welcome: Welcome,
+    sample: ClockSample,
+    link_id: u64,
+}
+
+impl Connected {
+    pub(super) const fn gate_incarnation(&self) -> Incarnation {
+        Incarnation(self.welcome.incarnation)
+    }
+}
+
+/// Connect to a candidate's gate and complete the handshake.
+pub(super) async fn connect(
     node: &Node,
     candidate: &Candidate,
-) -> Result<(Arc<LinkHandle>, StreamTable, SocketReader), HandshakeError> {
+) -> Result<Connected, HandshakeError> {
+    let link_id = node.rng().u64(..);
     let deadline = Deadline::in_millis(node.clock.now(), CONNECT_TIMEOUT_MS);
     // With discovery, a daemon is not named after its upstream, so the handshake
     // names none; each request names its upstream instead.
@@ -74,6 +98,7 @@
             node.clock,
             socket.clone(),
             name,
+            link_id,
             candidate.notice(),
         )
         .await?;
@@ -84,24 +109,33 @@
     candidate
         .signals
         .record_load(welcome.load, node.clock.now());
-    let (write_queue, writer) = write_queue();
-    node.spawn(writer.write_all(socket));
-    let (link, table) = LinkHandle::new(write_queue, Incarnation(welcome.incarnation), sample);
-    Ok((Arc::new(link), table, reader))
+    Ok(Connected {
+        socket,
+        reader,
+        welcome,
+        sample,
+        link_id,
+    })
 }
 
-/// Publish the link in the candidate's slot and read it until it ends.
-async fn run_link(
-    node: &Node,
-    candidate: &Candidate,
+/// A link that is up, with the reader of its frames.
+struct RunningLink {
     link: Arc<LinkHandle>,
     table: StreamTable,
-    mut reader: SocketReader,
-) {
-    let name = &candidate.upstream.name;
+    reader: SocketReader,
+}
+
+/// Start the writer of a link, and publish the link in the candidate's slot.
+fn start_link(node: &Node, candidate: &Candidate, connected: Connected) -> RunningLink {
+    let gate = connected.gate_incarnation();
+    let (write_queue, writer) = write_queue();
+    node.spawn(writer.write_all(connected.socket));
+    let (link, table) = LinkHandle::new(write_queue, gate, connected.link_id, connected.sample);
+    let link = Arc::new(link);
     node.metrics.count(CounterId::LinksMade);
     Event::LinkUp.log(format_args!(
-        "{name}, gate incarnation {}",
+        "{}, gate incarnation {}",
+        candidate.upstream.name,
         link.gate_incarnation()
     ));
     let now = node.clock.now();
@@ -109,15 +143,41 @@
         link.ping(now);
     }
     candidate.link_slot.set(Some(Arc::clone(&link)));
-    let end = table
-        .run(
-            &link,
-            &mut reader,
-            &candidate.signals,
-            node.clock,
-            &node.metrics,
-        )
-        .await;
+    RunningLink {
+        link,
+        table,
+        reader: connected.reader,
+    }
+}
+
+/// Read a link until it ends.
+///
+/// Returns the link that has taken its place if it has gone silent.
+async fn run_link(node: &Node, candidate: &Candidate, running: RunningLink) -> Option<RunningLink> {
+    let name = &candidate.upstream.name;
+    let RunningLink {
+        link,
+        table,
+        mut reader,
+    } = running;
+    let reading = async {
+        let signals = &candidate.signals;
+        let read = table.run(&link, &mut reader, signals, node.clock, &node.metrics);
+        Ok(read.await)
+    };
+    // The second link takes its place before the requests on the first learn of its loss.
+    let replacing = async {
+        let second = replace_silent(node, candidate, &link).await;
+        Err(start_link(node, candidate, second))
+    };
+    let end = match future::or(reading, replacing).await {
+        Ok(end) => end,
+        Err(second) => {
+            link.close_silent();
+            node.metrics.count(CounterId::LinksLost);
+            return Some(second);
+        }
+    };
     candidate.link_slot.set(None);
     link.close();
     node.metrics.count(CounterId::LinksLost);
@@ -133,4 +193,5 @@
             Event::FrameMalformed.log(format_args!("{name}: {violation}"));
         }
     }
+    None
 }
--- a/crates/mustardtiller/src/link/fetch.rs
+++ b/crates/mustardtiller/src/link/fetch.rs
@@ -39,7 +39,7 @@
 ) -> Option<RegistrySnapshot> {
     let fetching = async {
         let mut socket = TcpStream::connect(peer).await.ok()?;
-        let opened = handshake::open(&node.board, node.clock, socket.clone(), "", None).await;
+        let opened = handshake::open(&node.board, node.clock, socket.clone(), "", 0, None).await;
         let (mut reader, _, _) = opened.ok()?;
         let mut buf = Vec::new();
         encode_frame(&Frame::FetchRegistry { stream: 1 }, &mut buf)
@@ -58,7 +58,7 @@
     values: &mut [Option<Vec<u8>>],
 ) -> Option<()> {
     let mut socket = TcpStream::connect(peer).await.ok()?;
-    let opened = handshake::open(&node.board, node.clock, socket.clone(), "", None).await;
+    let opened = handshake::open(&node.board, node.clock, socket.clone(), "", 0, None).await;
     let (mut reader, _, _) = opened.ok()?;
     for (index, digest) in digests.iter().enumerate() {
         let stream = index as u32 + 1;
--- /dev/null
+++ b/crates/mustardtiller/src/link/guard.rs
@@ -0,0 +1,126 @@
+//! Proves that a link has gone silent, by a second link to the same gate.
+
+use smol::future;
+
+use super::client::LinkHandle;
+use super::connector::Connected;
+use super::connector::connect;
+use super::handshake;
+use crate::board::Candidate;
+use crate::daemon::Node;
+use crate::events::Event;
+use crate::metrics::CounterId;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Suspicion;
+use mustardtiller_core::SuspicionEffect;
+use mustardtiller_core::SuspicionRule;
+
+/// Time in which the reply to a ping may still come once the second link is up, in milliseconds.
+const LAST_LOOK_MS: u64 = 15;
+
+/// Timeout of the gate's statement of what it has read, in milliseconds.
+const DISOWN_TIMEOUT_MS: u64 = 100;
+
+/// Pause after a second link was not needed or could not be made, in milliseconds.
+const PAUSE_MS: u64 = 100;
+
+/// Watch a link in use, and return a second one once the first has proved silent.
+///
+/// The proof is a gate that answers on a new connection while it sends nothing on the
+/// old one. It then states which requests it had read from the old one, of which it
+/// reads no more; the others have not run.
+pub(super) async fn replace_silent(
+    node: &Node,
+    candidate: &Candidate,
+    link: &LinkHandle,
+) -> Connected {
+    loop {
+        let probed = wait_for_use(node, link).await;
+        if !is_suspected(node, candidate, link, probed).await {
+            continue;
+        }
+        if let Some(second) = connect_second(node, candidate, link).await {
+            node.metrics.count(CounterId::LinksSilent);
+            Event::LinkSilent.log(&candidate.upstream.name);
+            node.link_silent.notify(usize::MAX);
+            return second;
+        }
+        node.clock.sleep_millis(PAUSE_MS).await;
+    }
+}
+
+/// Wait until a request is open on the link, or another link has proved silent.
+///
+/// Returns whether the link is to be pinged at once.
+async fn wait_for_use(node: &Node, link: &LinkHandle) -> bool {
+    let other_silent = node.link_silent.listen();
+    let opened = link.opened.listen();
+    if link.open_streams() > 0 {
+        return false;
+    }
+    let opened = async {
+        opened.await;
+        false
+    };
+    let probed = async {
+        other_silent.await;
+        true
+    };
+    future::or(opened, probed).await
+}
+
+/// Watch the link until it is out of use or suspected; return whether it is suspected.
+async fn is_suspected(node: &Node, candidate: &Candidate, link: &LinkHandle, probed: bool) -> bool {
+    let rule = SuspicionRule::default();
+    let frames = link.frames();
+    let mut suspicion = Suspicion::begin(frames, node.clock.now());
+    loop {
+        let is_answered = probed && link.frames() != frames;
+        if (link.open_streams() == 0 && !probed) || is_answered {
+            return false;
+        }
+        let usual_micros = if probed {
+            0
+        } else {
+            u64::from(candidate.signals.latency_micros())
+        };
+        let now = node.clock.now();
+        let until = match suspicion.step(&rule, link.frames(), usual_micros, now) {
+            SuspicionEffect::Wait(until) => until,
+            SuspicionEffect::Ping(until) => {
+                link.ping(now);
+                until
+            }
+            SuspicionEffect::Suspect => return true,
+        };
+        node.clock.sleep_until(until).await;
+    }
+}
+
+/// Open a second link; `None` if the first one turns out to work or the gate doesn't answer.
+async fn connect_second(
+    node: &Node,
+    candidate: &Candidate,
+    link: &LinkHandle,
+) -> Option<Connected> {
+    let frame_received = link.frame_received();
+    let frames = link.frames();
+    let connecting = async { connect(node, candidate).await.ok() };
+    let first_works = async {
+        frame_received.await;
+        None
+    };
+    let mut second = future::or(first_works, connecting).await?;
+    node.clock.sleep_millis(LAST_LOOK_MS).await;
+    if link.frames() != frames || second.gate_incarnation() != link.gate_incarnation() {
+        return None;
+    }
+    let deadline = Deadline::in_millis(node.clock.now(), DISOWN_TIMEOUT_MS);
+    let disowning = handshake::disown(&mut second.reader, &second.socket, link.id());
+    let read = node.clock.within(deadline, disowning).await.flatten();
+    // A first link that has ended meanwhile, or an older gate, leaves the outcomes unknown.
+    if let Some(read) = read {
+        link.note_read(read);
+    }
+    Some(second)
+}
--- a/crates/mustardtiller/src/link/handshake.rs
+++ b/crates/mustardtiller/src/link/handshake.rs
@@ -6,17 +6,20 @@
 use smol::net::TcpStream;
 use snafu::Snafu;
 
+use super::disown::LinkName;
 use super::reader::ReadError;
 use super::reader::SocketReader;
 use crate::board::Board;
 use crate::board::Phase;
 use crate::clock::Clock;
 use mustardtiller_core::ClockSample;
+use mustardtiller_core::Incarnation;
 use mustardtiller_core::Instant;
 use mustardtiller_wire::Frame;
 use mustardtiller_wire::Hello;
 use mustardtiller_wire::LoadReport;
 use mustardtiller_wire::PROTOCOL_VERSION;
+use mustardtiller_wire::ReadStreams;
 use mustardtiller_wire::UpstreamNotice;
 use mustardtiller_wire::Welcome;
 use mustardtiller_wire::encode_frame;
@@ -65,11 +68,13 @@
     clock: Clock,
     socket: TcpStream,
     upstream: &str,
+    link_id: u64,
     notice: Option<UpstreamNotice>,
 ) -> Result<(SocketReader, Welcome, ClockSample), HandshakeError> {
     let hello = Frame::Hello(Hello {
         version: PROTOCOL_VERSION,
         incarnation: board.identity.incarnation.0,
+        link_id,
         upstream: upstream.to_owned(),
         link: board.identity.link,
         notice,
@@ -101,14 +106,14 @@
 
 /// Accept a link: read the hello and send the welcome.
 ///
-/// Returns the load report that the welcome carried. The welcome is sent before
+/// Returns the load report that the welcome carried and the link's name. The welcome is sent before
 /// the hello is checked, so a rejected peer learns this side's version and upstream.
 /// Until this daemon knows a host, the peer is published as its neighbour.
 pub async fn accept(
     board: &Board,
     clock: Clock,
     socket: TcpStream,
-) -> Result<(SocketReader, LoadReport), HandshakeError> {
+) -> Result<(SocketReader, LoadReport, LinkName), HandshakeError> {
     let mut reader = SocketReader::new(socket.clone());
     let first = reader
         .next()
@@ -140,7 +145,30 @@
     if board.hosts.read().members.is_empty() {
         board.neighbour.publish(Arc::new(Some(hello.link)));
     }
-    Ok((reader, load))
+    let name = LinkName {
+        entry: Incarnation(hello.incarnation),
+        id: hello.link_id,
+    };
+    Ok((reader, load, name))
+}
+
+/// Disown an earlier link to the same gate: it reads no more of it.
+///
+/// Returns what it had read; `None` if it no longer knows the link.
+pub async fn disown(
+    reader: &mut SocketReader,
+    socket: &TcpStream,
+    link_id: u64,
+) -> Option<ReadStreams> {
+    write_frame(socket, &Frame::Disown { link_id }).await.ok()?;
+    loop {
+        match reader.next().await.ok()? {
+            Frame::Disowned { read, .. } => return read,
+            // A gate sends these on every link.
+            Frame::Load { .. } | Frame::GoAway => {}
+            _ => return None,
+        }
+    }
 }
 
 const fn check_version(version: u16) -> Result<(), HandshakeError> {
--- a/crates/mustardtiller/src/link/mod.rs
+++ b/crates/mustardtiller/src/link/mod.rs
@@ -3,7 +3,9 @@
 mod client;
 mod connector;
 mod credit;
+mod disown;
 mod fetch;
+mod guard;
 mod handshake;
 mod inbox;
 mod incoming;
@@ -18,6 +20,7 @@
 pub use client::LinkHandle;
 pub use client::StreamDeadlines;
 pub use connector::maintain_link;
+pub use disown::LinkDirectory;
 pub use fetch::fetch_registry;
 pub use fetch::fetch_values;
 pub use server::serve_links;
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -13,6 +13,9 @@
 use smol::net::TcpStream;
 
 use super::credit::SendCredit;
+use super::disown::DirectoryEntry;
+use super::disown::LinkName;
+use super::disown::SeenStreams;
 use super::handshake;
 use super::inbox::Delivery;
 use super::inbox::InboxSender;
@@ -52,6 +55,11 @@
 /// recovers.
 const RECENT_USE_MICROS: u64 = 500_000;
 
+/// Time from the statement of what was read of a disowned link to its end, in milliseconds.
+///
+/// The entry would take the requests as lost if it saw the end first.
+const DISOWNED_MS: u64 = 200;
+
 /// Time without a frame after which a link without streams is closed, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 90_000;
 
@@ -82,7 +90,7 @@
     let _ = socket.set_nodelay(true);
     let deadline = Deadline::in_millis(node.clock.now(), HELLO_TIMEOUT_MS);
     let accepting = handshake::accept(&node.board, node.clock, socket.clone());
-    let (reader, sent_load) = match node.clock.within(deadline, accepting).await {
+    let (reader, sent_load, name) = match node.clock.within(deadline, accepting).await {
         Some(Ok(accepted)) => {
             node.adopt_notice();
             accepted
@@ -102,6 +110,8 @@
     node.spawn(writer.write_all(socket));
     let (finished_tx, finished_rx) = unbounded();
     let link = ServerLink {
+        entry: node.links.enter(name),
+        seen: SeenStreams::default(),
         node,
         write_queue,
         streams: HashMap::new(),
@@ -127,6 +137,10 @@
     node: Arc<Node>,
     write_queue: WriteQueue,
     streams: HashMap<u32, ServerStream>,
+    /// The link's place among those that the gate serves.
+    entry: DirectoryEntry,
+    /// The streams whose heads were read.
+    seen: SeenStreams,
     /// The `leaving` flag in the welcome, or in the last report of its change.
     reported_leaving: bool,
     finished_tx: Sender<u32>,
@@ -139,6 +153,7 @@
     Read(ReadError),
     Violation(&'static str),
     Idle,
+    Disowned,
 }
 
 impl ServerLink {
@@ -154,6 +169,10 @@
                 Event::FrameMalformed.log(violation);
             }
             ServerLinkEnd::Read(_) | ServerLinkEnd::Idle => {}
+            ServerLinkEnd::Disowned => {
+                self.streams.clear();
+                self.node.clock.sleep_millis(DISOWNED_MS).await;
+            }
         }
         self.write_queue.close();
     }
@@ -201,8 +220,15 @@
                 availability.await;
                 Step::AvailabilityChanged
             };
+            let disowned = self.entry.disowned.clone();
+            let disowned = async {
+                match disowned.recv().await {
+                    Ok(reply) => Step::Disowned(reply),
+                    Err(_) => future::pending().await,
+                }
+            };
             let others = future::or(
-                future::or(drain, availability_changed),
+                future::or(future::or(disowned, drain), availability_changed),
                 future::or(slowdown_changed, idle),
             );
             match future::or(next, others).await {
@@ -226,6 +252,12 @@
                     }
                 }
                 Step::AvailabilityChanged => {}
+                Step::Disowned(reply) => {
+                    let link_id = self.entry.name.id;
+                    let read = self.seen.read();
+                    let _ = reply.send(Frame::Disowned { link_id, read });
+                    return ServerLinkEnd::Disowned;
+                }
                 Step::Draining => {
                     go_away_sent = true;
                     let _ = self.write_queue.send(Frame::GoAway);
@@ -296,8 +328,13 @@
                 let _ = self.write_queue.send(Frame::Value { stream, bytes });
                 Ok(())
             }
+            Frame::Disown { link_id } => {
+                self.disown(link_id);
+                Ok(())
+            }
             Frame::Hello(_)
             | Frame::Welcome(_)
+            | Frame::Disowned { .. }
             | Frame::Admitted { .. }
             | Frame::Refused { .. }
             | Frame::Answer { .. }
@@ -311,7 +348,20 @@
         }
     }
 
+    /// End another link of the same entry, which states here what it has read.
+    fn disown(&self, link_id: u64) {
+        let name = LinkName {
+            id: link_id,
+            ..self.entry.name
+        };
+        if !self.node.links.disown(name, self.write_queue.clone()) {
+            let read = None;
+            let _ = self.write_queue.send(Frame::Disowned { link_id, read });
+        }
+    }
+
     fn open(&mut self, stream: u32, head: RequestHead) -> Result<(), &'static str> {
+        self.seen.insert(stream);
         if self.streams.contains_key(&stream) {
             return Err("stream opened twice");
         }
@@ -443,5 +493,6 @@
     Draining,
     AvailabilityChanged,
     SlowdownChanged,
+    Disowned(WriteQueue),
     Idle,
 }
--- a/crates/mustardtiller/src/link/stream.rs
+++ b/crates/mustardtiller/src/link/stream.rs
@@ -8,6 +8,7 @@
 use super::credit::MAX_CHUNK_BYTES;
 use super::credit::SendCredit;
 use super::inbox::Inbox;
+use mustardtiller_core::NotRunReason;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::Verdict;
 use mustardtiller_wire::AnswerHead;
@@ -84,6 +85,9 @@
             Some(_) => Reply::Lost(UnknownReason::BadAnswer),
             None => {
                 self.done = true;
+                if self.link.is_unread(self.stream) {
+                    return Reply::Refused(Verdict::NotRun(NotRunReason::Unreachable));
+                }
                 Reply::Lost(self.link.lost_reason())
             }
         }
--- a/crates/mustardtiller/src/link/table.rs
+++ b/crates/mustardtiller/src/link/table.rs
@@ -115,7 +115,7 @@
                 Ok(())
             }
             // `run` has recorded the load report, as with other frames.
-            Frame::Load { .. } => Ok(()),
+            Frame::Load { .. } | Frame::Disowned { .. } => Ok(()),
             Frame::Credit { stream, bytes } => {
                 if let Some((_, credit)) = self.streams.get(&stream) {
                     credit.grant(bytes);
@@ -147,6 +147,7 @@
             | Frame::DataEnd { .. }
             | Frame::DataCut { .. }
             | Frame::Cancel { .. }
+            | Frame::Disown { .. }
             | Frame::Ping { .. }
             | Frame::Fetch { .. }
             | Frame::FetchRegistry { .. } => Err("gate sent a frame that only an entry may send"),
