feat(memory): an account of the bytes that a daemon holds for others

Cause: an entry read every body up to held_body_bytes whatever it held already, a frame of one byte took far more memory than its window counted, and nothing ended bodies, answers and heads whose callers had stopped.

Refusals are told at once (memory-full). Frames count for 256 bytes at least. Stalled bodies give up memory under pressure, connections to ordinary callers, and a stop. An answer that nobody reads ends after answer_ms, at the entry and at the gate. Connections dismissed with an incomplete head close. Buffers of connections to the upstream hold 32 KB at most.

--- a/crates/mustardtiller-core/src/admit/idle_callers.rs
+++ b/crates/mustardtiller-core/src/admit/idle_callers.rs
@@ -14,13 +14,16 @@
     Busy,
     /// It has waited for a request since this time.
     Idle(Instant),
+    /// The body of its request has stalled since this time.
+    Stalled(Instant),
 }
 
 /// Choose the connections to close when `bound` is reached, by index.
 ///
-/// The longest idle ones are chosen, and never one with a request in flight. The load
-/// that this answers: callers that retry on new connections and leave the earlier ones
-/// open until the idle timeout.
+/// The longest idle ones are chosen, then those whose request's body has stalled
+/// longest, and never another one with a request in flight. The load that this answers:
+/// callers that retry on new connections and leave the earlier ones open until the idle
+/// timeout, and callers that stop sending short of the end of a body.
 ///
 /// # Examples
 ///
@@ -44,14 +47,17 @@
     longest_idle(states, count)
 }
 
-/// Choose up to `count` idle connections, those that have been idle longest.
+/// Choose up to `count` connections, those that have been idle longest.
+///
+/// Stalled ones are chosen after all that are idle.
 #[must_use]
 pub fn longest_idle(states: &[CallerState], count: usize) -> Vec<usize> {
-    let mut idle: Vec<(Instant, usize)> = states
+    let mut idle: Vec<((bool, Instant), usize)> = states
         .iter()
         .enumerate()
         .filter_map(|(index, state)| match state {
-            CallerState::Idle(since) => Some((*since, index)),
+            CallerState::Idle(since) => Some(((false, *since), index)),
+            CallerState::Stalled(since) => Some(((true, *since), index)),
             CallerState::Busy => None,
         })
         .collect();
--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -1,6 +1,7 @@
 //! Admission control at a gate: concurrency limit, wait queue and forecast.
 
 mod forecast;
+mod held;
 mod idle_callers;
 mod knee;
 mod limiter;
@@ -12,6 +13,9 @@
 pub use forecast::AdmissionRequest;
 pub use forecast::Forecast;
 pub use forecast::QueueMode;
+pub use held::HeldRule;
+pub use held::STALLED_MS;
+pub use held::StalledBody;
 pub use idle_callers::CallerState;
 pub use idle_callers::callers_to_close;
 pub use idle_callers::longest_idle;
--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -92,6 +92,8 @@
         EntryFull = 23 "entry-full",
         /// The upstream takes only so many requests a second, and these have started.
         RateLimited = 24 "rate-limited",
+        /// The daemon holds as many bytes for others as it may.
+        MemoryFull = 25 "memory-full",
     }
 );
 
--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -102,6 +102,7 @@
         | NotRunReason::QueueFull
         | NotRunReason::Busy
         | NotRunReason::RateLimited
+        | NotRunReason::MemoryFull
         | NotRunReason::TooLate
         | NotRunReason::UpstreamShed => Some(RetryReason::Busy),
         NotRunReason::UpstreamDown => Some(RetryReason::UpstreamDown),
--- a/crates/mustardtiller-core/tests/idle_callers.rs
+++ b/crates/mustardtiller-core/tests/idle_callers.rs
@@ -55,3 +55,15 @@
     assert!(callers_to_close(&states, 4).is_empty());
     assert!(longest_idle(&states, 4).is_empty());
 }
+
+#[test]
+fn stalled_bodies_make_room_after_idle_callers() {
+    let idle = CallerState::Idle(at(50));
+    let stalled = |millis| CallerState::Stalled(at(millis));
+    let states = [stalled(20), CallerState::Busy, idle, stalled(10)];
+    assert_eq!(longest_idle(&states, 1), [2]);
+    assert_eq!(callers_to_close(&states, 3), [2, 3]);
+    let mut all = longest_idle(&states, 4);
+    all.sort_unstable();
+    assert_eq!(all, [0, 2, 3], "a request that moves was cut");
+}
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -7,6 +7,7 @@
 use event_listener::Event;
 
 use crate::board::GateState;
+use crate::board::HeldBytes;
 use crate::board::PhaseCell;
 use crate::board::Routes;
 use crate::board::Snapshot;
@@ -71,6 +72,8 @@
     ///
     /// Written by links.
     pub notice: Snapshot<Option<UpstreamNotice>>,
+    /// The bytes that this daemon holds for others. Written by requests.
+    pub held: Arc<HeldBytes>,
     /// Whether the entry can accept connections. Written by the entry listener.
     pub accepts_callers: AtomicBool,
     /// Notified when the upstream beside this daemon may be gone or replaced by another.
--- a/crates/mustardtiller/src/board/connection.rs
+++ b/crates/mustardtiller/src/board/connection.rs
@@ -8,17 +8,28 @@
 
 use mustardtiller_core::CallerState;
 use mustardtiller_core::Instant;
+use mustardtiller_core::STALLED_MS;
 
 /// Value of `idle_since` while a request is in flight.
 const BUSY: u64 = u64::MAX;
 
+/// Microseconds in a millisecond.
+const MILLI_MICROS: u64 = 1_000;
+
+/// Value of `awaited_since` and `unread_since` while the caller owes nothing.
+const NOT_AWAITED: u64 = u64::MAX;
+
 /// One connection from a caller.
 ///
-/// Its own task writes `idle_since` and `ended`, the entry listener `unwanted`.
+/// Its own task writes all but `unwanted`, which the entry listener writes.
 #[derive(Debug)]
 pub struct CallerConnection {
     /// Since when it has waited for a request, in microseconds, or [`BUSY`].
     idle_since: AtomicU64,
+    /// Since when bytes of a body are awaited, in microseconds, or [`NOT_AWAITED`].
+    awaited_since: AtomicU64,
+    /// Since when the caller reads nothing, in microseconds, or [`NOT_AWAITED`].
+    unread_since: AtomicU64,
     unwanted: AtomicBool,
     ended: AtomicBool,
     changed: Event,
@@ -30,6 +41,8 @@
     pub const fn new(now: Instant) -> Self {
         Self {
             idle_since: AtomicU64::new(now.as_micros()),
+            awaited_since: AtomicU64::new(NOT_AWAITED),
+            unread_since: AtomicU64::new(NOT_AWAITED),
             unwanted: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             changed: Event::new(),
@@ -41,17 +54,65 @@
         self.idle_since.store(BUSY, Ordering::SeqCst);
     }
 
-    /// Record that no request is in flight since `now`.
+    /// Record that no request is in flight since `now`, as its answer is written.
     pub fn end_request(&self, now: Instant) {
+        self.end_wait();
         self.idle_since.store(now.as_micros(), Ordering::SeqCst);
     }
 
-    /// Return what the connection does.
+    /// Record that bytes of a body are awaited since `now`.
+    pub fn begin_wait(&self, now: Instant) {
+        self.awaited_since.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Record that no bytes of a body are awaited.
+    pub fn end_wait(&self) {
+        self.awaited_since.store(NOT_AWAITED, Ordering::Relaxed);
+    }
+
+    /// Record that the caller reads nothing since `now`.
+    pub fn begin_unread(&self, now: Instant) {
+        self.unread_since.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Record that the caller reads on.
+    pub fn end_unread(&self) {
+        self.unread_since.store(NOT_AWAITED, Ordering::Relaxed);
+    }
+
+    /// Report whether the connection may be closed at `now` without a word.
+    ///
+    /// Either no request is in flight, or the connection is to make room and its caller
+    /// doesn't read the answer.
+    #[must_use]
+    pub fn is_closable(&self, now: Instant) -> bool {
+        match self.state(now) {
+            CallerState::Idle(_) => true,
+            CallerState::Stalled(_) => {
+                self.is_dismissed() && self.unread_since.load(Ordering::Relaxed) != NOT_AWAITED
+            }
+            CallerState::Busy => false,
+        }
+    }
+
+    /// Return what the connection does at `now`.
     #[must_use]
-    pub fn state(&self) -> CallerState {
-        match self.idle_since.load(Ordering::SeqCst) {
-            BUSY => CallerState::Busy,
-            since => CallerState::Idle(Instant::from_micros(since)),
+    pub fn state(&self, now: Instant) -> CallerState {
+        let idle_since = self.idle_since.load(Ordering::SeqCst);
+        let awaited_since = self.awaited_since.load(Ordering::Relaxed);
+        let unread_since = self.unread_since.load(Ordering::Relaxed);
+        let stalled_since = awaited_since.min(unread_since);
+        if stalled_since != NOT_AWAITED {
+            let since = Instant::from_micros(stalled_since);
+            if now.micros_since(since) < STALLED_MS * MILLI_MICROS {
+                CallerState::Busy
+            } else {
+                CallerState::Stalled(since)
+            }
+        } else if idle_since == BUSY {
+            CallerState::Busy
+        } else {
+            CallerState::Idle(Instant::from_micros(idle_since))
         }
     }
 
@@ -64,6 +125,12 @@
         first
     }
 
+    /// Report whether the connection is to be closed.
+    #[must_use]
+    pub fn is_dismissed(&self) -> bool {
+        self.unwanted.load(Ordering::SeqCst)
+    }
+
     /// Wait until the connection is to be closed.
     pub async fn dismissed(&self) {
         loop {
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -16,6 +16,7 @@
 
 use crate::board::Board;
 use crate::board::GateState;
+use crate::board::HeldBytes;
 use crate::board::Identity;
 use crate::board::Phase;
 use crate::board::PhaseCell;
@@ -39,6 +40,7 @@
 use crate::published::HttpPublishedSource;
 use crate::published::PublishedSource;
 use crate::settings::Settings;
+use mustardtiller_core::HeldRule;
 use mustardtiller_core::HostList;
 use mustardtiller_core::Incarnation;
 use mustardtiller_core::Registry;
@@ -181,6 +183,7 @@
         gate: GateState::new(now, warm_at),
         phase: PhaseCell::new(),
         notice: Snapshot::new(None),
+        held: Arc::new(HeldBytes::new(HeldRule::for_host(settings.memory_mb))),
         accepts_callers: AtomicBool::new(true),
         hosts_wanted: Signal::new(),
         start_read: Signal::new(),
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -139,6 +139,8 @@
     ControllerPanicked = 902 Error "controller panicked",
     /// Tasks ran later than they were due.
     TasksDelayed = 903 Warn "tasks delayed",
+    /// Bytes were refused, since the daemon holds as many for others as it may.
+    MemoryFull = 904 Warn "memory for others is full",
 );
 
 impl EventLevel {
--- a/crates/mustardtiller/src/front/body.rs
+++ b/crates/mustardtiller/src/front/body.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -13,17 +14,25 @@
 use hyper::body::SizeHint;
 use smol::Timer;
 
+use super::watch::BodyWatch;
+use crate::board::CallerConnection;
 use crate::body::BodyCut;
 use crate::body::ChunkSource;
+use crate::clock::Clock;
 use crate::entry::AnswerChunks;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::Instant;
+use mustardtiller_core::STALLED_MS;
 use mustardtiller_core::UnknownReason;
 
 /// Request body of a caller, read only when the gate asks for it.
 #[derive(Debug)]
 pub struct CallerBody {
     incoming: Incoming,
+    watch: BodyWatch,
     timer: Timer,
-    chunk_timeout_ms: u64,
+    /// Since when bytes are awaited; `None` while none are.
+    awaited_since: Option<Instant>,
     remaining_bytes: u64,
     first: Option<Bytes>,
 }
@@ -31,13 +40,14 @@
 impl CallerBody {
     /// Wrap a body of at most `limit` bytes.
     ///
-    /// The body fails if a chunk takes the caller more than `chunk_timeout_ms`
-    /// milliseconds.
-    pub fn new(incoming: Incoming, chunk_timeout_ms: u64, limit: u64) -> Self {
+    /// The body fails if it is given up as stalled, or a chunk takes the caller longer
+    /// than the daemon's settings allow.
+    pub fn new(incoming: Incoming, watch: BodyWatch, limit: u64) -> Self {
         Self {
             incoming,
+            watch,
             timer: Timer::never(),
-            chunk_timeout_ms,
+            awaited_since: None,
             remaining_bytes: limit,
             first: None,
         }
@@ -79,26 +89,54 @@
         Ok(bytes)
     }
 
+    /// Begin to wait for bytes, unless that has begun, and return since when.
+    fn begin_wait(&mut self) -> Instant {
+        if let Some(since) = self.awaited_since {
+            return since;
+        }
+        let since = self.watch.begin_wait();
+        self.awaited_since = Some(since);
+        self.restart_timer();
+        since
+    }
+
+    fn end_wait(&mut self) {
+        if self.awaited_since.take().is_some() {
+            self.watch.end_wait();
+            self.timer = Timer::never();
+        }
+    }
+
     fn restart_timer(&mut self) {
-        self.timer = Timer::after(Duration::from_millis(self.chunk_timeout_ms));
+        let tick_ms = STALLED_MS.min(self.watch.node().settings.piece_ms);
+        self.timer = Timer::after(Duration::from_millis(tick_ms));
+    }
+
+    /// Report whether the body is given up after a wait since `since`.
+    fn is_given_up(&self, since: Instant) -> bool {
+        let node = self.watch.node();
+        let deadline = Deadline::in_millis(since, node.settings.piece_ms);
+        deadline.has_passed(node.clock.now()) || self.watch.refusal(since).is_some()
     }
 }
 
 impl ChunkSource for CallerBody {
-    fn begin(&mut self) {
-        self.restart_timer();
-    }
+    fn begin(&mut self) {}
 
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyCut>>> {
         let polled = self.poll_data(cx);
         if polled.is_ready() {
-            self.restart_timer();
+            self.end_wait();
             return polled;
         }
-        match Pin::new(&mut self.timer).poll(cx) {
-            Poll::Ready(_) => Poll::Ready(Some(Err(BodyCut))),
-            Poll::Pending => Poll::Pending,
+        let since = self.begin_wait();
+        while Pin::new(&mut self.timer).poll(cx).is_ready() {
+            if self.is_given_up(since) {
+                return Poll::Ready(Some(Err(BodyCut)));
+            }
+            self.restart_timer();
         }
+        Poll::Pending
     }
 }
 
@@ -192,6 +230,55 @@
     }
 }
 
+/// An answer to a caller, whose request is in flight until the answer is written.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    stream: AnswerStream,
+    connection: Arc<CallerConnection>,
+    clock: Clock,
+}
+
+impl CallerAnswer {
+    /// Wrap the body of an answer on a caller's connection.
+    pub const fn new(
+        stream: AnswerStream,
+        connection: Arc<CallerConnection>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            stream,
+            connection,
+            clock,
+        }
+    }
+}
+
+impl Drop for CallerAnswer {
+    fn drop(&mut self) {
+        self.connection.end_request(self.clock.now());
+    }
+}
+
+impl Body for CallerAnswer {
+    type Data = Bytes;
+    type Error = BodyCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyCut>>> {
+        Pin::new(&mut self.stream).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.stream.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.stream.size_hint()
+    }
+}
+
 impl fmt::Debug for AnswerStream {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("AnswerStream").finish_non_exhaustive()
--- a/crates/mustardtiller/src/front/connections.rs
+++ b/crates/mustardtiller/src/front/connections.rs
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Report what a connection that was just accepted gets, closing idle ones for it.
+    /// Report what a connection that was just accepted gets, closing others for it.
     pub fn make_room(&mut self) -> Room {
         self.node
             .board
@@ -80,9 +80,9 @@
         }
     }
 
-    /// Close idle connections after one could not be accepted.
+    /// Close idle and stalled connections after one could not be accepted.
     ///
-    /// If none is idle, the daemon isn't ready until it accepts one again.
+    /// If there is none, the daemon isn't ready until it accepts one again.
     pub fn free_descriptors(&mut self) {
         self.open.retain(|connection| !connection.has_ended());
         let closed = longest_idle(&self.states(), EXHAUSTED_BATCH);
@@ -101,7 +101,8 @@
     }
 
     fn states(&self) -> Vec<CallerState> {
-        self.open.iter().map(|open| open.state()).collect()
+        let now = self.node.clock.now();
+        self.open.iter().map(|open| open.state(now)).collect()
     }
 
     /// Have connections closed by their tasks, and return how many.
--- a/crates/mustardtiller/src/front/mod.rs
+++ b/crates/mustardtiller/src/front/mod.rs
@@ -3,10 +3,13 @@
 mod answer;
 mod body;
 mod connections;
+mod read_body;
 mod ready;
 mod refusal;
 mod request;
 mod serve;
+mod socket;
+mod watch;
 
 pub use ready::serve_ready;
 pub use serve::serve_callers;
--- /dev/null
+++ b/crates/mustardtiller/src/front/read_body.rs
@@ -0,0 +1,177 @@
+//! Reads request bodies: short ones into memory, long ones are streamed.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Incoming;
+
+use super::body::CallerBody;
+use super::request::RequestError;
+use super::watch::BodyWatch;
+use crate::board::HeldGuard;
+use crate::board::Holder;
+use crate::body::HeldBuffer;
+use crate::daemon::Node;
+use crate::entry::CallBody;
+use mustardtiller_core::Deadline;
+use mustardtiller_core::NotRunReason;
+use mustardtiller_core::STALLED_MS;
+
+const MEMORY_FULL: RequestError = RequestError {
+    reason: NotRunReason::MemoryFull,
+    detail: "no room for the body",
+};
+
+const BODY_TOO_LARGE: RequestError = RequestError {
+    reason: NotRunReason::BodyTooLarge,
+    detail: "body too large",
+};
+
+/// How a request body is read.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyRule {
+    /// Whether even a short body is streamed.
+    streamed: bool,
+    /// Largest body that is held in memory, in bytes; longer ones are streamed.
+    buffer_limit_bytes: u64,
+    /// Largest accepted body, in bytes.
+    max_bytes: u64,
+}
+
+impl BodyRule {
+    /// Return how a request body is read.
+    ///
+    /// Without a configuration the limit is unknown, so no body is too large.
+    pub fn for_request(node: &Node, host: &str, method: &str, path: &str) -> Self {
+        let configuration = node.board.configuration.read();
+        let Some(configuration) = configuration.as_ref().as_ref() else {
+            return Self {
+                streamed: false,
+                buffer_limit_bytes: node.settings.held_body_bytes,
+                max_bytes: u64::MAX,
+            };
+        };
+        let kind = node.board.routes.read().kind_of(host, method, path);
+        let upload = kind.is_some_and(|kind| kind.upload);
+        let settings = &node.settings;
+        match configuration.fleet.limits {
+            Some(limits) => Self {
+                streamed: false,
+                buffer_limit_bytes: settings.held_body_bytes.min(limits.body_bytes),
+                max_bytes: limits.body_bytes,
+            },
+            None if upload => Self {
+                streamed: true,
+                buffer_limit_bytes: 0,
+                max_bytes: settings.streamed_body_bytes,
+            },
+            None => Self {
+                streamed: false,
+                buffer_limit_bytes: settings.held_body_bytes,
+                max_bytes: settings.held_body_bytes,
+            },
+        }
+    }
+}
+
+/// Read a short body into memory, or prepare a long one for streaming.
+///
+/// # Errors
+///
+/// Returns why the request is rejected; nothing of it was sent anywhere.
+pub async fn read_body(
+    body: Incoming,
+    rule: BodyRule,
+    deadline: Deadline,
+    watch: BodyWatch,
+) -> Result<CallBody, RequestError> {
+    let length = body.size_hint().exact();
+    if length == Some(0) {
+        return Ok(CallBody::Buffered(Bytes::new()));
+    }
+    if length.is_some_and(|length| length > rule.max_bytes) {
+        return Err(BODY_TOO_LARGE);
+    }
+    if rule.streamed || length.is_some_and(|length| length > rule.buffer_limit_bytes) {
+        let source = Box::new(CallerBody::new(body, watch, rule.max_bytes));
+        return Ok(CallBody::Streamed { length, source });
+    }
+    let node = Arc::clone(watch.node());
+    if length.is_some_and(|length| !node.board.held.has_room(length)) {
+        return Err(MEMORY_FULL);
+    }
+    let reading = read_chunks(body, rule, length, watch);
+    match node.clock.within(deadline, reading).await {
+        Some(read) => read,
+        None => Err(RequestError {
+            reason: NotRunReason::BodyCut,
+            detail: "body too slow",
+        }),
+    }
+}
+
+/// Read a body into memory until it ends or exceeds the buffer limit.
+///
+/// Over the buffer limit, the chunks read so far become the start of a streamed body.
+async fn read_chunks(
+    mut body: Incoming,
+    rule: BodyRule,
+    length: Option<u64>,
+    watch: BodyWatch,
+) -> Result<CallBody, RequestError> {
+    let account = Arc::clone(&watch.node().board.held);
+    let guard = HeldGuard::new(account, Holder::Requests);
+    let mut held = HeldBuffer::new(guard, length.map(|length| length as usize));
+    while let Some(chunk) = next_chunk(&mut body, &watch).await? {
+        if !held.try_push(&chunk) {
+            return Err(MEMORY_FULL);
+        }
+        if held.len() as u64 > rule.max_bytes {
+            return Err(BODY_TOO_LARGE);
+        }
+        if held.len() as u64 > rule.buffer_limit_bytes {
+            let source = CallerBody::new(body, watch, rule.max_bytes);
+            let source = Box::new(source.with_first_chunk(held.freeze()));
+            return Ok(CallBody::Streamed {
+                length: None,
+                source,
+            });
+        }
+    }
+    Ok(CallBody::Buffered(held.freeze()))
+}
+
+/// Wait for the next chunk of a body; `None` once it is complete.
+async fn next_chunk(body: &mut Incoming, watch: &BodyWatch) -> Result<Option<Bytes>, RequestError> {
+    let node = watch.node();
+    let since = watch.begin_wait();
+    loop {
+        let tick = Deadline::in_millis(node.clock.now(), STALLED_MS);
+        match node.clock.within(tick, body.frame()).await {
+            None => {
+                if let Some(reason) = watch.refusal(since) {
+                    let detail = "body stalled";
+                    return Err(RequestError { reason, detail });
+                }
+            }
+            Some(None) => {
+                watch.end_wait();
+                return Ok(None);
+            }
+            Some(Some(Err(_))) => {
+                return Err(RequestError {
+                    reason: NotRunReason::BodyCut,
+                    detail: "body cut",
+                });
+            }
+            Some(Some(Ok(frame))) => {
+                if let Ok(chunk) = frame.into_data() {
+                    watch.end_wait();
+                    return Ok(Some(chunk));
+                }
+            }
+        }
+    }
+}
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -97,6 +97,7 @@
         | NotRunReason::Busy
         | NotRunReason::EntryFull
         | NotRunReason::RateLimited
+        | NotRunReason::MemoryFull
         | NotRunReason::NoConfiguration => 503,
     }
 }
--- a/crates/mustardtiller/src/front/request.rs
+++ b/crates/mustardtiller/src/front/request.rs
@@ -3,20 +3,20 @@
 //! Hyper rejects conflicting `Content-Length` headers. A `Transfer-Encoding` overrides
 //! and removes a `Content-Length` (RFC 9112, section 6.3).
 
-use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
+use std::sync::Arc;
+
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 
-use super::body::CallerBody;
+use super::read_body::BodyRule;
+use super::read_body::read_body;
+use super::watch::BodyWatch;
+use crate::board::CallerConnection;
 use crate::daemon::Node;
 use crate::entry::Call;
-use crate::entry::CallBody;
 use crate::entry::TokenText;
 use crate::http::DeadlineForm;
 use crate::upstream::DEPTH_HEADER;
@@ -41,6 +41,17 @@
     pub detail: &'static str,
 }
 
+impl RequestError {
+    /// Report whether the connection closes, since the rest of the body is not read.
+    #[must_use]
+    pub const fn closes_connection(self) -> bool {
+        matches!(
+            self.reason,
+            NotRunReason::MemoryFull | NotRunReason::EntryFull | NotRunReason::Leaving
+        )
+    }
+}
+
 const fn bad_request(detail: &'static str) -> RequestError {
     RequestError {
         reason: NotRunReason::BadRequest,
@@ -65,12 +76,16 @@
     Ok(name.to_ascii_lowercase())
 }
 
-/// Convert a request to a call.
+/// Convert a request that came on a caller's connection to a call.
 ///
 /// # Errors
 ///
 /// Returns why the request is rejected; nothing of it was sent anywhere.
-pub async fn read_call(node: &Node, req: Request<Incoming>) -> Result<Call, RequestError> {
+pub async fn read_call(
+    node: &Arc<Node>,
+    connection: &Arc<CallerConnection>,
+    req: Request<Incoming>,
+) -> Result<Call, RequestError> {
     let received_at = node.clock.now();
     let host = request_host(&req)?;
     let headers = req.headers();
@@ -98,10 +113,11 @@
     forwarded.retain(|header| {
         !header.name.starts_with(INTERNAL_HEADER_PREFIX) && !node.dialect.overwrites(&header.name)
     });
-    let rule = body_rule(node, &host, &method, req.uri().path());
+    let rule = BodyRule::for_request(node, &host, &method, req.uri().path());
     let body_deadline = Deadline::in_millis(received_at, node.settings.piece_ms);
     let body_deadline = deadline.map_or(body_deadline, |deadline| deadline.min(body_deadline));
-    let body = read_body(node, req.into_body(), rule, body_deadline).await?;
+    let watch = BodyWatch::new(Arc::clone(node), Arc::clone(connection));
+    let body = read_body(req.into_body(), rule, body_deadline, watch).await?;
     Ok(Call {
         host,
         method,
@@ -117,118 +133,6 @@
     })
 }
 
-/// How a request body is read.
-#[derive(Clone, Copy, Debug)]
-struct BodyRule {
-    /// Whether even a short body is streamed.
-    streamed: bool,
-    /// Largest body that is held in memory, in bytes; longer ones are streamed.
-    buffer_limit_bytes: u64,
-    /// Largest accepted body, in bytes.
-    max_bytes: u64,
-}
-
-/// Return how a request body is read.
-///
-/// Without a configuration the limit is unknown, so no body is too large.
-fn body_rule(node: &Node, host: &str, method: &str, path: &str) -> BodyRule {
-    let configuration = node.board.configuration.read();
-    let Some(configuration) = configuration.as_ref().as_ref() else {
-        return BodyRule {
-            streamed: false,
-            buffer_limit_bytes: node.settings.held_body_bytes,
-            max_bytes: u64::MAX,
-        };
-    };
-    let kind = node.board.routes.read().kind_of(host, method, path);
-    let upload = kind.is_some_and(|kind| kind.upload);
-    let settings = &node.settings;
-    match configuration.fleet.limits {
-        Some(limits) => BodyRule {
-            streamed: false,
-            buffer_limit_bytes: settings.held_body_bytes.min(limits.body_bytes),
-            max_bytes: limits.body_bytes,
-        },
-        None if upload => BodyRule {
-            streamed: true,
-            buffer_limit_bytes: 0,
-            max_bytes: settings.streamed_body_bytes,
-        },
-        None => BodyRule {
-            streamed: false,
-            buffer_limit_bytes: settings.held_body_bytes,
-            max_bytes: settings.held_body_bytes,
-        },
-    }
-}
-
-/// Read a short body into memory, or prepare a long one for streaming.
-async fn read_body(
-    node: &Node,
-    body: Incoming,
-    rule: BodyRule,
-    deadline: Deadline,
-) -> Result<CallBody, RequestError> {
-    let length = body.size_hint().exact();
-    if length == Some(0) {
-        return Ok(CallBody::Buffered(Bytes::new()));
-    }
-    if length.is_some_and(|length| length > rule.max_bytes) {
-        return Err(RequestError {
-            reason: NotRunReason::BodyTooLarge,
-            detail: "body too large",
-        });
-    }
-    let chunk_timeout_ms = node.settings.piece_ms;
-    if rule.streamed || length.is_some_and(|length| length > rule.buffer_limit_bytes) {
-        let source = Box::new(CallerBody::new(body, chunk_timeout_ms, rule.max_bytes));
-        return Ok(CallBody::Streamed { length, source });
-    }
-    let reading = read_chunks(body, rule, chunk_timeout_ms);
-    match node.clock.within(deadline, reading).await {
-        Some(read) => read,
-        None => Err(RequestError {
-            reason: NotRunReason::BodyCut,
-            detail: "body too slow",
-        }),
-    }
-}
-
-/// Read a body into memory until it ends or exceeds the buffer limit.
-///
-/// Over the buffer limit, the chunks read so far become the start of a streamed body.
-async fn read_chunks(
-    mut body: Incoming,
-    rule: BodyRule,
-    chunk_timeout_ms: u64,
-) -> Result<CallBody, RequestError> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| RequestError {
-            reason: NotRunReason::BodyCut,
-            detail: "body cut",
-        })?;
-        if let Ok(chunk) = frame.into_data() {
-            bytes.extend_from_slice(&chunk);
-        }
-        if bytes.len() as u64 > rule.max_bytes {
-            return Err(RequestError {
-                reason: NotRunReason::BodyTooLarge,
-                detail: "body too large",
-            });
-        }
-        if bytes.len() as u64 > rule.buffer_limit_bytes {
-            let source = CallerBody::new(body, chunk_timeout_ms, rule.max_bytes);
-            let source = Box::new(source.with_first_chunk(bytes.freeze()));
-            return Ok(CallBody::Streamed {
-                length: None,
-                source,
-            });
-        }
-    }
-    Ok(CallBody::Buffered(bytes.freeze()))
-}
-
 /// Return the deadline in the headers of a request.
 ///
 /// An absolute deadline comes from an upstream on this host, which shares the wall
--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -17,19 +17,20 @@
 use smol::future;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
-use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
 use super::answer::EntryRequestGuard;
 use super::answer::outcome_response;
 use super::answer::request_error_response;
 use super::body::AnswerStream;
+use super::body::CallerAnswer;
 use super::connections::CallerConnections;
 use super::connections::Room;
 use super::refusal::refusal_response;
 use super::request::TOKEN_HEADER;
 use super::request::read_call;
 use super::request::request_host;
+use super::socket::CallerSocket;
 use crate::board::CallerConnection;
 use crate::board::Phase;
 use crate::board::ServiceRoutes;
@@ -163,9 +164,9 @@
         let (node, caller) = (Arc::clone(&node), Arc::clone(&caller));
         async move {
             caller.begin_request();
-            let response = respond(&node, req, admission).await;
-            caller.end_request(node.clock.now());
-            Ok::<_, Infallible>(response)
+            let response = respond(&node, &caller, req, admission).await;
+            let clock = node.clock;
+            Ok::<_, Infallible>(response.map(|body| CallerAnswer::new(body, caller, clock)))
         }
     });
     let limits = connection_limits(&node);
@@ -175,7 +176,13 @@
         .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES) as usize);
-    let mut connection = pin!(builder.serve_connection(FuturesIo::new(socket), service));
+    let io = CallerSocket::new(
+        socket,
+        Arc::clone(&caller),
+        node.clock,
+        node.settings.answer_ms,
+    );
+    let mut connection = pin!(builder.serve_connection(io, service));
     let finished = async { Some(connection.as_mut().await) };
     let draining = node.board.phase.reached(Phase::Draining);
     let closing = async {
@@ -197,7 +204,13 @@
     }
     // The connection closes once the request in flight is answered.
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    loop {
+        let limit = Deadline::in_millis(node.clock.now(), FIRST_REQUEST_MS);
+        let ended = node.clock.within(limit, connection.as_mut()).await;
+        if ended.is_some() || caller.is_closable(node.clock.now()) {
+            return;
+        }
+    }
 }
 
 /// What a connection's requests get.
@@ -245,6 +258,7 @@
 
 async fn respond(
     node: &Arc<Node>,
+    caller: &Arc<CallerConnection>,
     req: Request<Incoming>,
     admission: CallAdmission,
 ) -> Response<AnswerStream> {
@@ -256,7 +270,7 @@
     let response = match req.uri().path() {
         READY_PATH => ready_response(closing),
         TOKEN_PATH => token_response(node, &req).await,
-        _ => Box::pin(call_response(node, req, guard)).await,
+        _ => Box::pin(call_response(node, caller, req, guard)).await,
     };
     if closing {
         closing_response(response)
@@ -276,11 +290,15 @@
 
 async fn call_response(
     node: &Arc<Node>,
+    caller: &Arc<CallerConnection>,
     req: Request<Incoming>,
     guard: EntryRequestGuard,
 ) -> Response<AnswerStream> {
-    let call = match read_call(node, req).await {
+    let call = match read_call(node, caller, req).await {
         Ok(call) => call,
+        Err(error) if error.closes_connection() => {
+            return closing_response(request_error_response(node, error));
+        }
         Err(error) => return request_error_response(node, error),
     };
     let service = service_for_host(node, &call.host);
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -5,6 +5,11 @@
 use std::hash::Hasher;
 use std::sync::Arc;
 
+use bytes::Bytes;
+
+use crate::board::HeldGuard;
+use crate::board::Holder;
+use crate::body::hold;
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::events::GateRecord;
@@ -23,6 +28,7 @@
 use mustardtiller_core::Token;
 use mustardtiller_core::Unsent;
 use mustardtiller_core::Verdict;
+use mustardtiller_wire::AnswerHead;
 
 /// Largest answer body that is stored for repeats, in bytes.
 const MAX_KEPT_ANSWER_BYTES: usize = 8 * 1024;
@@ -63,11 +69,8 @@
             node.ledger.mark_unknown(token.id, *reason);
         }
         GateAnswer::Buffered { head, bytes } if bytes.len() <= MAX_KEPT_ANSWER_BYTES => {
-            let kept = KeptAnswer {
-                head: head.clone(),
-                bytes: bytes.clone(),
-            };
-            node.ledger.finish(token.id, Some(Arc::new(kept)));
+            let kept = keep_answer(node, head, bytes);
+            node.ledger.finish(token.id, kept.map(Arc::new));
         }
         GateAnswer::Buffered { .. } | GateAnswer::Streamed { .. } => {
             node.ledger.finish(token.id, None);
@@ -75,6 +78,18 @@
     }
 }
 
+/// Copy an answer for repeats of its request, if there is room for it.
+fn keep_answer(node: &Node, head: &AnswerHead, bytes: &Bytes) -> Option<KeptAnswer> {
+    let account = &node.board.held;
+    let own = account.held_by(Holder::Ledger);
+    let mut guard = HeldGuard::new(Arc::clone(account), Holder::Ledger);
+    let admitted = guard.try_grow_beside(own, bytes.len() as u64);
+    admitted.then(|| KeptAnswer {
+        head: head.clone(),
+        bytes: hold(Bytes::copy_from_slice(bytes), guard),
+    })
+}
+
 /// Admit a request and exchange it with the upstream.
 async fn run(node: &Arc<Node>, unsent: Unsent, req: GateRequest) -> GateAnswer {
     let received_at = node.clock.now();
--- a/crates/mustardtiller/src/link/connector.rs
+++ b/crates/mustardtiller/src/link/connector.rs
@@ -84,7 +84,7 @@
     candidate
         .signals
         .record_load(welcome.load, node.clock.now());
-    let (write_queue, writer) = write_queue();
+    let (write_queue, writer) = write_queue(&node.board.held);
     node.spawn(writer.write_all(socket));
     let (link, table) = LinkHandle::new(write_queue, Incarnation(welcome.incarnation), sample);
     Ok((Arc::new(link), table, reader))
--- a/crates/mustardtiller/src/link/credit.rs
+++ b/crates/mustardtiller/src/link/credit.rs
@@ -12,6 +12,18 @@
 /// Largest chunk of a body in one frame, in bytes.
 pub const MAX_CHUNK_BYTES: usize = 16 * 1024;
 
+/// Least that a frame counts for, in bytes; about what it takes in a queue.
+const MIN_FRAME_COST: usize = 256;
+
+/// Return what a frame with `bytes` bytes of a body counts for.
+pub const fn frame_cost(bytes: usize) -> usize {
+    if bytes < MIN_FRAME_COST {
+        MIN_FRAME_COST
+    } else {
+        bytes
+    }
+}
+
 /// The sender's view of the receiver's flow-control window.
 #[derive(Debug)]
 pub struct SendCredit {
@@ -42,7 +54,7 @@
         self.granted.notify(usize::MAX);
     }
 
-    /// Wait until the window is open, then spend `bytes` of it.
+    /// Wait until the window is open, then spend what a frame of `bytes` counts for.
     ///
     /// May overdraw the window by one chunk, which the receiver allows for.
     /// Returns false once the credit is closed.
@@ -53,7 +65,8 @@
                 return false;
             }
             if self.left.load(Ordering::SeqCst) > 0 {
-                self.left.fetch_sub(bytes as i64, Ordering::SeqCst);
+                let cost = frame_cost(bytes) as i64;
+                self.left.fetch_sub(cost, Ordering::SeqCst);
                 return true;
             }
             granted.await;
--- a/crates/mustardtiller/src/link/responder.rs
+++ b/crates/mustardtiller/src/link/responder.rs
@@ -12,6 +12,8 @@
 use crate::gate::GateAnswer;
 use crate::gate::GateRequest;
 use crate::gate::run_request;
+use crate::metrics::CounterId;
+use mustardtiller_core::Deadline;
 use mustardtiller_wire::AnswerHead;
 use mustardtiller_wire::Frame;
 
@@ -102,25 +104,36 @@
         let _ = self.write_queue.send(frame);
     }
 
-    /// Send a body in chunks; false once the receiver or the link is gone.
+    /// Send a body in chunks; false once the receiver or the link is gone, or nobody
+    /// reads on.
     async fn send(&self, mut bytes: Bytes) -> bool {
+        let node = &self.node;
         while !bytes.is_empty() {
             let chunk = bytes.split_to(bytes.len().min(MAX_CHUNK_BYTES));
-            let count = chunk.len();
-            if !self.credit.spend(count).await {
-                return false;
-            }
-            let frame = Frame::AnswerData {
-                stream: self.stream,
-                bytes: chunk,
-            };
-            if self.write_queue.send_chunk(frame, count).await.is_err() {
-                return false;
+            let deadline = Deadline::in_millis(node.clock.now(), node.settings.answer_ms);
+            match node.clock.within(deadline, self.send_chunk(chunk)).await {
+                Some(true) => {}
+                Some(false) => return false,
+                None => {
+                    node.metrics.count(CounterId::AnswersUnread);
+                    return false;
+                }
             }
         }
         true
     }
 
+    /// Send one chunk, once the window and the link have room for it.
+    async fn send_chunk(&self, bytes: Bytes) -> bool {
+        let count = bytes.len();
+        if !self.credit.spend(count).await {
+            return false;
+        }
+        let stream = self.stream;
+        let frame = Frame::AnswerData { stream, bytes };
+        self.write_queue.send_chunk(frame, count).await.is_ok()
+    }
+
     /// Send the stream's last frame and report the stream as finished.
     fn end(&self, frame: Frame) {
         let _ = self.write_queue.send_after_bodies(frame);
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -23,7 +23,10 @@
 use super::responder::Responder;
 use super::write_queue::WriteQueue;
 use super::write_queue::write_queue;
+use crate::board::HeldGuard;
+use crate::board::Holder;
 use crate::board::Phase;
+use crate::body::hold;
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::metrics::CounterId;
@@ -32,6 +35,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Verdict;
+use mustardtiller_wire::BodyFraming;
 use mustardtiller_wire::Frame;
 use mustardtiller_wire::MAX_FRAME_BYTES;
 use mustardtiller_wire::RegistrySnapshot;
@@ -98,7 +102,7 @@
             return;
         }
     };
-    let (write_queue, writer) = write_queue();
+    let (write_queue, writer) = write_queue(&node.board.held);
     node.spawn(writer.write_all(socket));
     let (finished_tx, finished_rx) = unbounded();
     let link = ServerLink {
@@ -311,7 +315,7 @@
         }
     }
 
-    fn open(&mut self, stream: u32, head: RequestHead) -> Result<(), &'static str> {
+    fn open(&mut self, stream: u32, mut head: RequestHead) -> Result<(), &'static str> {
         if self.streams.contains_key(&stream) {
             return Err("stream opened twice");
         }
@@ -323,6 +327,10 @@
             self.refuse(stream, NotRunReason::WrongUpstream);
             return Ok(());
         }
+        if !self.hold_body(&mut head) {
+            self.refuse(stream, NotRunReason::MemoryFull);
+            return Ok(());
+        }
         let (inbox_tx, inbox) = inbox(stream, self.write_queue.clone());
         let credit = Arc::new(SendCredit::new());
         let responder = Responder {
@@ -354,6 +362,25 @@
         Ok(())
     }
 
+    /// Charge a body that came with its head; returns false if there is no room for it.
+    ///
+    /// A request with a token is never refused here, as only the ledger may void the token.
+    fn hold_body(&self, head: &mut RequestHead) -> bool {
+        let BodyFraming::Inline(bytes) = &mut head.body else {
+            return true;
+        };
+        let account = Arc::clone(&self.node.board.held);
+        let mut guard = HeldGuard::new(account, Holder::Requests);
+        let length = bytes.len() as u64;
+        if head.token.is_some() {
+            guard.grow(length);
+        } else if !guard.try_grow(length) {
+            return false;
+        }
+        *bytes = hold(std::mem::take(bytes), guard);
+        true
+    }
+
     fn refuse(&self, stream: u32, reason: NotRunReason) {
         let verdict = Verdict::NotRun(reason).into();
         let load = self.node.load_report();
--- a/crates/mustardtiller/src/link/stream.rs
+++ b/crates/mustardtiller/src/link/stream.rs
@@ -197,6 +197,8 @@
                 Some(Err(UnknownReason::AnswerCut))
             }
             Some(_) => Some(Err(UnknownReason::BadAnswer)),
+            // The gate still sends; dropping the stream cancels it.
+            None if stream.inbox.is_overrun() => Some(Err(UnknownReason::AnswerCut)),
             None => {
                 stream.done = true;
                 Some(Err(stream.link.lost_reason()))
--- a/crates/mustardtiller/src/link/write_queue.rs
+++ b/crates/mustardtiller/src/link/write_queue.rs
@@ -12,6 +12,9 @@
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 
+use super::credit::frame_cost;
+use crate::board::HeldBytes;
+use crate::board::Holder;
 use crate::events::Event;
 use mustardtiller_wire::Frame;
 use mustardtiller_wire::WireError;
@@ -35,11 +38,32 @@
     bulk_bytes: Arc<BulkBytes>,
 }
 
-/// The bytes of bodies that are queued.
+/// What the bodies that are queued count for, in bytes.
 #[derive(Debug)]
 struct BulkBytes {
     bytes: AtomicUsize,
     drained: Signal,
+    account: Arc<HeldBytes>,
+}
+
+impl BulkBytes {
+    fn add(&self, cost: usize) {
+        self.bytes.fetch_add(cost, Ordering::SeqCst);
+        self.account.charge(Holder::Links, cost as u64);
+    }
+
+    fn sub(&self, cost: usize) {
+        self.bytes.fetch_sub(cost, Ordering::SeqCst);
+        self.account.release(Holder::Links, cost as u64);
+        self.drained.notify(usize::MAX);
+    }
+}
+
+impl Drop for BulkBytes {
+    fn drop(&mut self) {
+        let left = self.bytes.load(Ordering::SeqCst);
+        self.account.release(Holder::Links, left as u64);
+    }
 }
 
 /// The receiving half of a [`WriteQueue`], which writes its frames to the connection.
@@ -50,13 +74,14 @@
     bulk_bytes: Arc<BulkBytes>,
 }
 
-/// Create a write queue and its writer.
-pub fn write_queue() -> (WriteQueue, LinkWriter) {
+/// Create a write queue and its writer; what is queued is charged to `account`.
+pub fn write_queue(account: &Arc<HeldBytes>) -> (WriteQueue, LinkWriter) {
     let (urgent_tx, urgent) = unbounded();
     let (bulk_tx, bulk) = unbounded();
     let bulk_bytes = Arc::new(BulkBytes {
         bytes: AtomicUsize::new(0),
         drained: Signal::new(),
+        account: Arc::clone(account),
     });
     let write_queue = WriteQueue {
         urgent: urgent_tx,
@@ -110,8 +135,18 @@
             }
             drained.await;
         }
-        self.bulk_bytes.bytes.fetch_add(bytes, Ordering::SeqCst);
-        self.send_after_bodies(frame)
+        let cost = frame_cost(bytes);
+        self.bulk_bytes.add(cost);
+        let sent = self.send_after_bodies(frame);
+        if sent.is_err() {
+            self.bulk_bytes.sub(cost);
+        }
+        sent
+    }
+
+    /// Return the account that the link's queues are charged to.
+    pub fn account(&self) -> &Arc<HeldBytes> {
+        &self.bulk_bytes.account
     }
 
     /// Close the queue; frames already queued are still written.
@@ -169,10 +204,7 @@
 
     fn encode(&self, frame: &Frame, buf: &mut Vec<u8>) -> Result<(), WireError> {
         if let Frame::Data { bytes, .. } | Frame::AnswerData { bytes, .. } = frame {
-            self.bulk_bytes
-                .bytes
-                .fetch_sub(bytes.len(), Ordering::SeqCst);
-            self.bulk_bytes.drained.notify(usize::MAX);
+            self.bulk_bytes.sub(frame_cost(bytes.len()));
         }
         encode_frame(frame, buf)
     }
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::board::HeldBytes;
+use crate::board::Holder;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::RetryReason;
@@ -53,6 +55,8 @@
     "Requests hedged" Hedges = "hedges",
     "Connections accepted from callers" CallersAccepted = "callers_accepted",
     "Idle connections of callers closed to make room" CallersDismissed = "callers_dismissed",
+    "Stalled request bodies given up" BodiesStalled = "bodies_stalled",
+    "Answers cut because nobody read them" AnswersUnread = "answers_unread",
     "Connections that a listener failed to accept" AcceptsFailed = "accepts_failed",
     "Hedges that answered first" HedgesWon = "hedges_won",
     "Tokens handed out" TokensMinted = "tokens_minted",
@@ -150,6 +154,8 @@
 /// Microseconds in a second.
 const SECOND_MICROS: f64 = 1_000_000.0;
 
+type HolderLabels = [(&'static str, String); 1];
+
 type EndLabels = [(&'static str, String); 1];
 
 /// The gauges of a daemon.
@@ -171,6 +177,8 @@
     pub registered: Gauge,
     /// Slots of the upstream that the gate uses: its concurrency limit.
     pub slots_filled: Gauge,
+    /// Bytes held for others, in the order of [`Holder::ALL`].
+    held_bytes: Vec<Gauge>,
 }
 
 impl Gauges {
@@ -185,6 +193,13 @@
             "gate_slots_filled",
             "Slots of the upstream that the gate fills",
         );
+        let held = Family::<HolderLabels, Gauge>::default();
+        registry.register("held_bytes", "Bytes held for others", held.clone());
+        let held_bytes = Holder::ALL.iter().map(|holder| {
+            let labels = [("holder", holder.as_str().to_owned())];
+            held.get_or_create_owned(&labels)
+        });
+        let held_bytes = held_bytes.collect();
         let entry_in_flight = gauge(
             registry,
             "entry_in_flight",
@@ -212,6 +227,14 @@
             revision,
             registered,
             slots_filled,
+            held_bytes,
+        }
+    }
+
+    /// Take over the bytes that the account shows.
+    pub fn set_held_bytes(&self, account: &HeldBytes) {
+        for holder in Holder::ALL {
+            self.held_bytes[*holder as usize].set(account.held_by(*holder) as i64);
         }
     }
 }
--- a/crates/mustardtiller/src/metrics/endpoint.rs
+++ b/crates/mustardtiller/src/metrics/endpoint.rs
@@ -46,6 +46,7 @@
     if req.uri().path() != "/metrics" {
         return text(404, "text/plain", "see /metrics\n".to_owned());
     }
+    node.metrics.gauges.set_held_bytes(&node.board.held);
     let mut buf = String::new();
     match node.metrics.write(&mut buf) {
         Ok(()) => text(200, CONTENT_TYPE, buf),
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -1,6 +1,7 @@
 //! Settings of one daemon, read from an INI file and checked before it starts.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use log::LevelFilter;
 
@@ -20,6 +21,15 @@
 /// Each takes some 26 KB, so all of them take 53 MB of the 128 MB of the target.
 const DEFAULT_CALLER_CONNECTIONS: u64 = 2_048;
 
+/// Default time for which an answer may wait for its caller to read on, in milliseconds.
+const DEFAULT_ANSWER_MS: u64 = 20_000;
+
+/// Default memory of the host, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 160;
+
+/// Accepted memory of the host, in megabytes; less has no room for the largest body.
+const MEMORY_MB: RangeInclusive<u64> = 64..=1_048_576;
+
 /// Values of the `log_level` setting.
 const LOG_LEVELS: &[(&str, LevelFilter)] = &[
     ("error", LevelFilter::Error),
@@ -144,6 +154,10 @@
     pub streamed_body_bytes: u64,
     /// Largest request head, in bytes.
     pub head_bytes: u64,
+    /// Time for which an answer may wait for its caller to read on, in milliseconds.
+    pub answer_ms: u64,
+    /// Memory of the host, in megabytes.
+    pub memory_mb: u64,
     /// Most connections from callers; idle ones are closed beyond it.
     pub caller_connections: u64,
     /// Duration of a cold upstream's ramp to full load, in milliseconds.
@@ -247,6 +261,8 @@
             held_body_bytes: limits.held_body_bytes,
             streamed_body_bytes: limits.streamed_body_bytes,
             head_bytes: limits.head_bytes,
+            answer_ms: limits.answer_ms,
+            memory_mb: limits.memory_mb,
             caller_connections: limits.caller_connections,
             ramp_ms: limits.ramp_ms,
             ledger_tokens: limits.ledger_tokens,
@@ -264,6 +280,8 @@
     held_body_bytes: u64,
     streamed_body_bytes: u64,
     head_bytes: u64,
+    answer_ms: u64,
+    memory_mb: u64,
     caller_connections: u64,
     ramp_ms: u64,
     ledger_tokens: u64,
@@ -279,6 +297,8 @@
             held_body_bytes: fields.number_or("held_body_bytes", 65_536, 0..=1_000_000),
             streamed_body_bytes: fields.number_or("streamed_body_bytes", 8 << 30, 0..=u64::MAX),
             head_bytes: fields.number_or("head_bytes", 32_768, 8_192..=262_144),
+            answer_ms: fields.number_or("answer_ms", DEFAULT_ANSWER_MS, 10..=MAX_MILLIS),
+            memory_mb: fields.number_or("memory_mb", DEFAULT_MEMORY_MB, MEMORY_MB),
             caller_connections: fields.number_or(
                 "caller_connections",
                 DEFAULT_CALLER_CONNECTIONS,
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -28,6 +28,9 @@
 use super::headers::is_hop_by_hop;
 use super::headers::named_by_connection;
 use super::pool::connect;
+use crate::board::HeldGuard;
+use crate::board::Holder;
+use crate::body::HeldBuffer;
 use crate::daemon::Node;
 use crate::gate::GateAnswer;
 use crate::gate::GateRequest;
@@ -296,22 +299,24 @@
 /// A truncated answer can then still be refused. An answer that exceeds the limit is
 /// streamed from there on.
 async fn read_buffered(sent: Sent, head: AnswerHead, mut body: UpstreamBody) -> GateAnswer {
-    let mut bytes = Vec::new();
+    let guard = HeldGuard::new(Arc::clone(&body.node.board.held), Holder::Answers);
+    let length = body.incoming.size_hint().exact();
+    let mut held = HeldBuffer::new(guard, length.map(|length| length as usize));
     loop {
         match body.next().await {
-            Some(Ok(chunk)) => bytes.extend_from_slice(&chunk),
+            Some(Ok(chunk)) => held.push(&chunk),
             Some(Err(_)) => return GateAnswer::refused(sent.unknown(UnknownReason::AnswerCut)),
             None => {
                 return GateAnswer::Buffered {
                     head,
-                    bytes: Bytes::from(bytes),
+                    bytes: held.freeze(),
                 };
             }
         }
-        if bytes.len() as u64 > MAX_BUFFERED_ANSWER_BYTES {
+        if held.len() as u64 > MAX_BUFFERED_ANSWER_BYTES {
             return GateAnswer::Streamed {
                 head,
-                first: Bytes::from(bytes),
+                first: held.freeze(),
                 body,
             };
         }
--- a/crates/mustardtiller/src/upstream/pool.rs
+++ b/crates/mustardtiller/src/upstream/pool.rs
@@ -15,6 +15,9 @@
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 
+/// Largest buffer of a connection, in bytes, and so the largest head of an answer.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Most idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -108,7 +111,10 @@
             .await
             .map_err(|e| e.to_string())?;
         socket.set_nodelay(true).map_err(|e| e.to_string())?;
-        let handshake = http1::handshake(FuturesIo::new(socket)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(FuturesIo::new(socket))
+            .await;
         handshake.map_err(|e| e.to_string())
     };
     let connected = node.clock.within(limit, connecting).await;
