--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -94,6 +94,10 @@
         RateLimited = 24 "rate-limited",
         /// The daemon holds as many bytes for others as it may.
         MemoryFull = 25 "memory-full",
+        /// The data centre is out of service.
+        Evacuated = 26 "evacuated",
+        /// The route of the request may not be served in this region.
+        OutsideRegion = 27 "outside-region",
     }
 );
 
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -98,6 +98,8 @@
         | NotRunReason::EntryFull
         | NotRunReason::RateLimited
         | NotRunReason::MemoryFull
+        | NotRunReason::Evacuated
+        | NotRunReason::OutsideRegion
         | NotRunReason::NoConfiguration => 503,
     }
 }
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -117,6 +117,7 @@
     /// Returns the reason if the request is refused.
     pub async fn admit(&self, node: &Arc<Node>, req: &GateRequest) -> Result<Permit, NotRunReason> {
         let gate = &node.board.gate;
+        node.load_probes.read_temperature(node).await;
         let mut limit = check_fast_path(node, req)?;
         if limit.is_some() && node.load_probes.needs_refresh(node) {
             node.load_probes.refresh(node).await;
@@ -156,6 +157,9 @@
     if node.refuses_new_work() {
         return Err(NotRunReason::Leaving);
     }
+    if let Some(reason) = node.board.placement.refusal(req.kind_digest) {
+        return Err(reason);
+    }
     let gate = &node.board.gate;
     if gate.waiting() > 0 {
         return match req.queue_mode {
@@ -254,7 +258,7 @@
     }
 }
 
-/// Return when the rate that the upstream named allows the next waiting request.
+/// Return when the rate in force allows the next waiting request.
 ///
 /// Returns `None` if it allows one now: then a slot is awaited, not a time.
 fn next_start(node: &Node, queue: &WaitQueue<WaiterHandle>) -> Option<Deadline> {
@@ -262,7 +266,7 @@
         return None;
     }
     let now = node.clock.now();
-    let next = node.board.gate.start_schedule()?.next_start(0, now);
+    let next = node.board.gate.start_schedule(now)?.next_start(0, now);
     (next > now).then_some(Deadline::at(next))
 }
 
@@ -301,7 +305,8 @@
     }
 }
 
-/// Refuse expired waiters, or all if new work is refused, then grant free slots.
+/// Refuse waiters that are expired or may not be served here, or all if new work is
+/// refused, then grant free slots.
 fn grant(node: &Arc<Node>, queue: &mut WaitQueue<WaiterHandle>) {
     queue.demote_late(node.clock.now());
     for handle in queue.expire(node.clock.now()) {
@@ -312,6 +317,11 @@
             refuse(node, &handle, NotRunReason::Leaving);
         }
     }
+    let placement = &node.board.placement;
+    for handle in queue.remove_if(|w| placement.refusal(w.handle.kind_digest).is_some()) {
+        let reason = placement.refusal(handle.kind_digest);
+        refuse(node, &handle, reason.unwrap_or(NotRunReason::Leaving));
+    }
     let callers = node.board.gate.callers.share();
     let in_use = |name: &CallerName| callers.find(name.as_str()).in_use();
     while let Some(next) = queue.peek(in_use) {
--- a/crates/mustardtiller/src/settings/daemon.rs
+++ b/crates/mustardtiller/src/settings/daemon.rs
@@ -1,5 +1,6 @@
 //! Settings of one daemon, read from an INI file and checked before it starts.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
@@ -12,6 +13,8 @@
 use mustardtiller_config::Source;
 use mustardtiller_core::DataCentreName;
 use mustardtiller_core::ReadScheduleRule;
+use mustardtiller_core::RegionName;
+use mustardtiller_core::RegistryViewRule;
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::SpreadRule;
 use mustardtiller_core::UpstreamName;
@@ -65,6 +68,8 @@
     pub service: ServiceName,
     /// Timing of registry reads that daemons of one data centre share.
     pub read_schedule: ReadScheduleRule,
+    /// How long registrations are kept that may have lapsed.
+    pub view: RegistryViewRule,
     /// Price of a request to another data centre, in microseconds of waiting time.
     pub far_micros: u32,
     /// Additional price per kilobyte of its body, in microseconds of waiting time.
@@ -120,6 +125,8 @@
     pub ready: Option<SocketAddr>,
     /// Caller of all calls to this entry; `None` if each call names its own.
     pub caller: Option<String>,
+    /// Regions of data centres that the configuration does not describe.
+    pub regions: HashMap<DataCentreName, RegionName>,
     /// Discovery of self-registered upstreams; `None` if operators configure them.
     pub discovery: Option<DiscoverySettings>,
     /// Limits on the fleet's retries.
@@ -242,6 +249,7 @@
             metrics,
             ready,
             caller,
+            regions: regions_of(&section(source, document, "regions")),
             discovery: match discovery {
                 Some(discovery) => Some(discovery?),
                 None => None,
@@ -336,6 +344,8 @@
         start_ms: fields.number_or("start_ms", default.start_ms, 0..=MAX_MILLIS),
         alone_ms: fields.number_or("alone_ms", default.alone_ms, 0..=MAX_MILLIS),
         fetch_ms: fields.number_or("fetch_ms", default.fetch_ms, 10..=MAX_MILLIS),
+        fetch_hedge_ms: fields.number_or("fetch_hedge_ms", default.fetch_hedge_ms, 10..=MAX_MILLIS),
+        silence_ms: fields.number_or("silence_ms", default.silence_ms, 50..=MAX_MILLIS),
         peers_ms: fields.number_or("peers_ms", default.peers_ms, 0..=MAX_MILLIS),
     };
     let hosts_ms = fields.number_or("hosts_ms", 60_000, 20..=MAX_MILLIS);
@@ -371,9 +381,13 @@
         step_ms: fields.number_or("step_ms", default.step_ms, 10..=MAX_MILLIS),
         retry_ms: fields.number_or("retry_ms", default.retry_ms, 10..=MAX_MILLIS),
         max_retry_ms: fields.number_or("max_retry_ms", default.max_retry_ms, 10..=MAX_MILLIS),
-        lapse_ms: fields.number_or("lapse_ms", default.lapse_ms, 0..=MAX_MILLIS),
         ..default
     };
+    let view = RegistryViewRule::default();
+    let view = RegistryViewRule {
+        lapse_ms: fields.number_or("lapse_ms", view.lapse_ms, 0..=MAX_MILLIS),
+        ..view
+    };
     let far_micros = fields.number_or("far_us", 0, 0..=MAX_FAR_MICROS) as u32;
     let far_micros_per_kb = fields.number_or("far_us_per_kb", 0, 0..=MAX_FAR_MICROS) as u32;
     fields.finish();
@@ -381,6 +395,7 @@
         upstream: upstream?,
         service: service?.as_str().into(),
         read_schedule,
+        view,
         far_micros,
         far_micros_per_kb,
         load_probes_per_s,
@@ -400,6 +415,14 @@
     retries
 }
 
+/// Read the `[regions]` section: a region by the name of each data centre.
+fn regions_of(section: &Section) -> HashMap<DataCentreName, RegionName> {
+    let entries = section.entries.iter();
+    entries
+        .map(|entry| (entry.key.as_str().into(), entry.value.as_str().into()))
+        .collect()
+}
+
 fn read_seeds(fields: &mut Fields<'_>) -> Vec<SocketAddr> {
     let list = fields.list("seeds");
     let mut seeds = Vec::new();
@@ -425,6 +448,7 @@
         "discovery",
         "retries",
         "probes",
+        "regions",
     ];
     for (index, section) in document.sections.iter().enumerate() {
         if !known.contains(&section.kind.as_str()) || !section.name.is_empty() {
