--- a/crates/mustardtiller-core/src/retry/rule.rs
+++ b/crates/mustardtiller-core/src/retry/rule.rs
@@ -125,6 +125,7 @@
         | NotRunReason::Displaced
         | NotRunReason::Busy
         | NotRunReason::RateLimited
+        | NotRunReason::MemoryFull
         | NotRunReason::TooLate
         | NotRunReason::UpstreamShed => Some(RetryReason::Busy),
         NotRunReason::Evacuated | NotRunReason::OutsideRegion => Some(RetryReason::Misplaced),
--- a/crates/mustardtiller-standin/tests/hostile_bodies.rs
+++ b/crates/mustardtiller-standin/tests/hostile_bodies.rs
@@ -265,6 +265,7 @@
     Frame::Hello(Hello {
         version: PROTOCOL_VERSION,
         incarnation: 7,
+        link_id: 1,
         upstream: Fleet::name(0),
         link: ([127, 0, 0, 1], 9).into(),
         notice: None,
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -105,6 +105,7 @@
         | NotRunReason::Busy
         | NotRunReason::EntryFull
         | NotRunReason::RateLimited
+        | NotRunReason::MemoryFull
         | NotRunReason::Evacuated
         | NotRunReason::OutsideRegion
         | NotRunReason::NoConfiguration => 503,
