feat(route): overflow crosses to another region for a free slot only

Change: OfferScope: home first; after three gates there had no free slot, one offer elsewhere for a start at once, if an answer can come in time; queues stay home. Two links a service go to other regions. Unchanged with one region.

--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -4,6 +4,7 @@
 mod health;
 mod offer;
 mod sample;
+mod scope;
 mod split;
 mod subset;
 
@@ -18,6 +19,7 @@
 pub use offer::Offers;
 pub use sample::Availability;
 pub use sample::Sample;
+pub use scope::OfferScope;
 pub use split::Splitter;
 pub use subset::subset;
-pub use subset::subset_by_data_centre;
+pub use subset::subset_by_group;
--- a/crates/mustardtiller-core/src/route/subset.rs
+++ b/crates/mustardtiller-core/src/route/subset.rs
@@ -25,26 +25,25 @@
     chosen
 }
 
-/// Choose up to `near_size` of the near names and `far_size` of the others.
+/// Choose up to `sizes[group]` names of each group.
 ///
 /// An entry sends most requests to its own data centre and needs few links to others,
 /// however large the service is. Returns the indices in ascending order.
 #[must_use]
-pub fn subset_by_data_centre<N: Hash>(
+pub fn subset_by_group<N: Hash>(
     entry: &str,
     names: &[N],
-    is_near: impl Fn(usize) -> bool,
-    near_size: usize,
-    far_size: usize,
+    group_of: impl Fn(usize) -> usize,
+    sizes: &[usize],
 ) -> Vec<usize> {
-    let (near, far): (Vec<usize>, Vec<usize>) = (0..names.len()).partition(|&n| is_near(n));
-    let choose = |group: &[usize], size: usize| -> Vec<usize> {
-        let group_names: Vec<&N> = group.iter().map(|&index| &names[index]).collect();
-        let chosen = subset(entry, &group_names, size);
-        chosen.into_iter().map(|index| group[index]).collect()
+    let choose = |(group, size): (usize, &usize)| -> Vec<usize> {
+        let members = (0..names.len()).filter(|&index| group_of(index) == group);
+        let members: Vec<usize> = members.collect();
+        let member_names: Vec<&N> = members.iter().map(|&index| &names[index]).collect();
+        let chosen = subset(entry, &member_names, *size);
+        chosen.into_iter().map(|index| members[index]).collect()
     };
-    let mut chosen = choose(&near, near_size);
-    chosen.extend(choose(&far, far_size));
+    let mut chosen: Vec<usize> = sizes.iter().enumerate().flat_map(choose).collect();
     chosen.sort_unstable();
     chosen
 }
--- a/crates/mustardtiller-core/tests/route_split.rs
+++ b/crates/mustardtiller-core/tests/route_split.rs
@@ -4,7 +4,7 @@
 use mustardtiller_core::Offers;
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Splitter;
-use mustardtiller_core::subset_by_data_centre;
+use mustardtiller_core::subset_by_group;
 
 #[test]
 fn every_300_requests_match_the_weights() {
@@ -52,7 +52,8 @@
     let mut chosen_by = vec![0_u32; names.len()];
     for entry in 0..185 {
         let is_near = |index: usize| index % 5 == entry % 5;
-        let chosen = subset_by_data_centre(&format!("e{entry}"), &names, is_near, 10, 6);
+        let group_of = |index: usize| usize::from(!is_near(index));
+        let chosen = subset_by_group(&format!("e{entry}"), &names, group_of, &[10, 6]);
         assert_eq!(chosen.len(), 16);
         assert_eq!(chosen.iter().filter(|&&index| is_near(index)).count(), 10);
         assert!(chosen.is_sorted());
@@ -67,6 +68,6 @@
 #[test]
 fn subset_of_a_small_service_is_all_of_it() {
     let names = ["a", "b", "c", "d"];
-    let chosen = subset_by_data_centre("me", &names, |index| index == 2, 10, 6);
+    let chosen = subset_by_group("me", &names, |index| usize::from(index != 2), &[10, 6]);
     assert_eq!(chosen, [0, 1, 2, 3]);
 }
--- a/crates/mustardtiller/src/board/candidate.rs
+++ b/crates/mustardtiller/src/board/candidate.rs
@@ -21,6 +21,8 @@
     pub service: ServiceName,
     /// Whether the upstream runs in another data centre than this daemon.
     pub in_other_data_centre: bool,
+    /// Whether the upstream runs in another region than this daemon, as far as is known.
+    pub in_other_region: bool,
     /// Region of the upstream's data centre, if it is known.
     pub region: Option<RegionName>,
     /// Whether its data centre is out of service, so that it gets no request.
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -30,7 +30,7 @@
 use mustardtiller_core::Splitter;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::subset;
-use mustardtiller_core::subset_by_data_centre;
+use mustardtiller_core::subset_by_group;
 
 /// Links that an entry keeps to registered upstreams of a service in its own data centre.
 const NEAR_LINKS: usize = 10;
@@ -40,6 +40,9 @@
 /// These are enough to find a free slot when its own data centre has none.
 const FAR_LINKS: usize = 6;
 
+/// How many of these are in other regions, if there are any.
+const REGION_LINKS: usize = 2;
+
 /// Most retries or hedges that the budget of one service may accumulate.
 const BUDGET_CAP: u32 = 10;
 
@@ -201,14 +204,12 @@
     let (mut open, mut others): (Vec<_>, Vec<_>) = all.into_iter().partition(|c| !c.evacuated);
     let names: Vec<&UpstreamName> = open.iter().map(|c| &c.upstream.name).collect();
     let chosen = if service.discovered {
-        let far_links = if node.board.placement.is_evacuated() {
-            NEAR_LINKS + FAR_LINKS
-        } else {
-            FAR_LINKS
+        let group_of = |index: usize| {
+            let candidate: &Candidate = &open[index];
+            usize::from(candidate.in_other_data_centre) + usize::from(candidate.in_other_region)
         };
-        let is_near = |index: usize| !open[index].in_other_data_centre;
         let member = node.member_name();
-        subset_by_data_centre(member.as_str(), &names, is_near, NEAR_LINKS, far_links)
+        subset_by_group(member.as_str(), &names, group_of, &link_counts(node, &open))
     } else {
         let own_name = node.board.identity.upstream.as_str();
         subset(own_name, &names, service.subset as usize)
@@ -222,6 +223,21 @@
     (open, others)
 }
 
+/// Return how many links to keep in the own data centre, in others and in other regions.
+fn link_counts(node: &Node, open: &[Arc<Candidate>]) -> [usize; 3] {
+    let elsewhere = open.iter().filter(|c| c.in_other_region).count();
+    let far = if node.board.placement.is_evacuated() {
+        NEAR_LINKS + FAR_LINKS
+    } else {
+        FAR_LINKS
+    };
+    match elsewhere {
+        0 => [NEAR_LINKS, far, 0],
+        all if all == open.len() => [0, 0, FAR_LINKS],
+        _ => [NEAR_LINKS, far - REGION_LINKS, REGION_LINKS],
+    }
+}
+
 /// Return a service's configured upstreams, or with discovery its registered ones.
 fn upstreams_of(node: &Node, service: &Service) -> Vec<Arc<Upstream>> {
     if !service.discovered {
@@ -298,6 +314,8 @@
 ) -> Arc<Candidate> {
     let here = &node.board.identity.data_centre;
     let path = configuration.path(here, &upstream.data_centre);
+    let region = region_of(node, configuration, &upstream.data_centre);
+    let own_region = region_of(node, configuration, here);
     let price_micros = path.map_or(0, |path| path.delay_micros * 2 + path.price_micros);
     let known = previous
         .and_then(|previous| previous.find(&upstream.name))
@@ -322,7 +340,8 @@
         upstream: Arc::clone(upstream),
         service: service.name.clone(),
         in_other_data_centre: upstream.data_centre != *here,
-        region: region_of(node, configuration, &upstream.data_centre),
+        in_other_region: region.is_some() && own_region.is_some() && region != own_region,
+        region,
         evacuated: configuration.fleet.is_evacuated(&upstream.data_centre),
         price_micros,
         signals,
--- a/crates/mustardtiller/src/entry/hedge.rs
+++ b/crates/mustardtiller/src/entry/hedge.rs
@@ -15,6 +15,7 @@
 use crate::entry::call::Call;
 use crate::entry::call::CallBody;
 use crate::entry::pick::FarPrice;
+use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
 use crate::entry::race::RaceEnd;
 use crate::entry::race::first_answer;
@@ -95,7 +96,7 @@
         &excluded,
         cx.queue_mode,
         &policy,
-        price,
+        Reach::any(price),
         now,
         &mut cx.node.rng(),
     )
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -14,6 +14,7 @@
 use crate::entry::hedge::hedged;
 use crate::entry::link_wait::wait_for_any_link;
 use crate::entry::pick::FarPrice;
+use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
 use crate::entry::trace::Trace;
 use mustardtiller_core::Attempt;
@@ -21,6 +22,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::OfferRule;
+use mustardtiller_core::OfferScope;
 use mustardtiller_core::Offers;
 use mustardtiller_core::Policy;
 use mustardtiller_core::QueueMode;
@@ -234,19 +236,25 @@
         ..default_policy
     };
     let excluded = history.excluded(cx.queue_mode);
-    let draw = || {
+    let draw_in = |scope| {
         let now = cx.node.clock.now();
-        let rng = &mut cx.node.rng();
-        pick(
-            &service.candidates,
-            &excluded,
-            cx.queue_mode,
-            &policy,
+        let reach = Reach {
             price,
-            now,
-            rng,
-        )
-        .cloned()
+            scope,
+            left_micros: cx.target.instant().micros_since(now),
+        };
+        let rng = &mut cx.node.rng();
+        let candidates = &service.candidates;
+        let mode = cx.queue_mode;
+        pick(candidates, &excluded, mode, &policy, reach, now, rng).cloned()
+    };
+    let draw = || {
+        let regions = service.candidates.iter().any(|c| c.in_other_region);
+        if cx.node.settings.discovery.is_none() || !regions {
+            return draw_in(OfferScope::Any);
+        }
+        let scope = OfferScope::of_offer(cx.queue_mode, history.busy.len() as u32);
+        draw_in(scope).or_else(|| draw_in(scope.otherwise(cx.queue_mode)?))
     };
     if let Some(candidate) = draw() {
         return Some(candidate);
--- a/crates/mustardtiller/src/entry/pick.rs
+++ b/crates/mustardtiller/src/entry/pick.rs
@@ -10,6 +10,7 @@
 use crate::entry::call::CallBody;
 use mustardtiller_core::Availability;
 use mustardtiller_core::Instant;
+use mustardtiller_core::OfferScope;
 use mustardtiller_core::Policy;
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Sample;
@@ -52,16 +53,45 @@
     }
 }
 
+/// Where an offer may go, and at which price.
+#[derive(Clone, Copy, Debug)]
+pub struct Reach {
+    /// Price of another data centre.
+    pub price: FarPrice,
+    /// The regions in which the offer may be made.
+    pub scope: OfferScope,
+    /// Time left to the target, in microseconds.
+    pub left_micros: u64,
+}
+
+impl Reach {
+    /// Return the reach of an offer that may go anywhere.
+    #[must_use]
+    pub const fn any(price: FarPrice) -> Self {
+        Self {
+            price,
+            scope: OfferScope::Any,
+            left_micros: u64::MAX,
+        }
+    }
+
+    fn admits(&self, candidate: &Candidate, sample: &Sample) -> bool {
+        let latency_micros = u64::from(sample.latency_micros);
+        self.scope
+            .admits(candidate.in_other_region, latency_micros, self.left_micros)
+    }
+}
+
 /// Choose a candidate that is not in `excluded`.
 ///
-/// An immediate offer goes to none whose named rate allows no start now. `price` is
-/// added to the price of candidates in other data centres.
+/// An immediate offer goes to none whose named rate allows no start now. The price of
+/// `reach` is added to that of candidates in other data centres.
 pub fn pick<'a>(
     candidates: &'a [Arc<Candidate>],
     excluded: &[UpstreamName],
     queue_mode: QueueMode,
     policy: &Policy,
-    price: FarPrice,
+    reach: Reach,
     now: Instant,
     rng: &mut fastrand::Rng,
 ) -> Option<&'a Arc<Candidate>> {
@@ -70,10 +100,11 @@
         .map(|candidate| {
             let mut sample = candidate.sample(now);
             if candidate.in_other_data_centre {
-                sample.price_micros = sample.price_micros.saturating_add(price.micros);
+                sample.price_micros = sample.price_micros.saturating_add(reach.price.micros);
             }
             let must_wait = queue_mode == QueueMode::None && sample.start_wait_micros > 0;
-            if must_wait || excluded.contains(&candidate.upstream.name) {
+            let admitted = reach.admits(candidate, &sample);
+            if must_wait || !admitted || excluded.contains(&candidate.upstream.name) {
                 sample.availability = Availability::Closed;
             }
             sample
--- a/crates/mustardtiller/src/entry/token.rs
+++ b/crates/mustardtiller/src/entry/token.rs
@@ -67,10 +67,10 @@
         weigh: service.service.weigh,
         ..Policy::default()
     };
-    let no_price = pick::FarPrice { micros: 0 };
+    let reach = pick::Reach::any(pick::FarPrice { micros: 0 });
     let rng = &mut node.rng();
     let mode = QueueMode::Queue;
-    let candidate = pick::pick(&service.candidates, &[], mode, &policy, no_price, now, rng)?;
+    let candidate = pick::pick(&service.candidates, &[], mode, &policy, reach, now, rng)?;
     let link = candidate.link_slot.get()?;
     let minted = link.gate_now(now)?;
     node.metrics.count(CounterId::TokensMinted);
