--- a/crates/mustardtiller-core/src/route/scope.rs
+++ b/crates/mustardtiller-core/src/route/scope.rs
@@ -26,11 +26,12 @@
     /// its region only for a slot that is free at that moment, after gates at home had
     /// none. So the overflow crosses as far as there is room, and nothing else does.
     ///
-    /// `refused` is how many gates have refused the call a start at once.
+    /// `refused` is how many gates have refused the call a start at once, `free_at_home`
+    /// how many others of the own region may have a slot, by their last reports.
     #[must_use]
-    pub const fn of_offer(queue_mode: QueueMode, refused: u32) -> Self {
+    pub const fn of_offer(queue_mode: QueueMode, refused: u32, free_at_home: u32) -> Self {
         match queue_mode {
-            QueueMode::None if refused >= HOME_REFUSALS => Self::Elsewhere,
+            QueueMode::None if refused >= HOME_REFUSALS || free_at_home == 0 => Self::Elsewhere,
             QueueMode::None | QueueMode::Queue => Self::Home,
         }
     }
--- a/crates/mustardtiller-core/tests/region_overflow.rs
+++ b/crates/mustardtiller-core/tests/region_overflow.rs
@@ -103,7 +103,7 @@
     fn request(&mut self, home: usize, now: u64, window: &mut Window) {
         window.arrivals[home] += 1;
         for refused in 0..IMMEDIATE {
-            let scope = OfferScope::of_offer(QueueMode::None, refused);
+            let scope = OfferScope::of_offer(QueueMode::None, refused, GATES as u32 - refused);
             let region = if scope.admits(true, 0, 0) {
                 1 - home
             } else {
@@ -115,7 +115,7 @@
             }
         }
         assert_eq!(
-            OfferScope::of_offer(QueueMode::Queue, IMMEDIATE),
+            OfferScope::of_offer(QueueMode::Queue, IMMEDIATE, 0),
             OfferScope::Home
         );
         window.refused[home] += u32::from(!self.queue(home));
@@ -216,6 +216,14 @@
     }
 }
 
+#[test]
+fn reports_of_a_full_region_spare_the_offers_there() {
+    let scope = |refused, free| OfferScope::of_offer(QueueMode::None, refused, free);
+    assert_eq!(scope(0, 1), OfferScope::Home);
+    assert_eq!(scope(0, 0), OfferScope::Elsewhere);
+    assert_eq!(scope(3, 5), OfferScope::Elsewhere);
+}
+
 #[test]
 fn an_answer_that_comes_too_late_is_not_sought_elsewhere() {
     let scope = OfferScope::Elsewhere;
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -55,8 +55,12 @@
     pub neighbour: Snapshot<Option<SocketAddr>>,
     /// The retry bounds, which a reload of the settings may replace.
     pub retries: Snapshot<RetryBounds>,
-    /// The upstreams that have registered themselves. Written by the registry controller.
+    /// The registered upstreams of configured services. Written by the registry controller.
     pub registry: Snapshot<Registry>,
+    /// All registrations as they were read, which peers fetch.
+    ///
+    /// Written by the registry controller.
+    pub listed: Snapshot<Registry>,
     /// The upstream beside this daemon.
     ///
     /// Written by the routes controller where operators name upstreams,
@@ -88,6 +92,11 @@
     ///
     /// The configuration controller then reads the configuration at the same time.
     pub start_read: Event,
+    /// Notified when this daemon reads the registrations out of turn, time after time.
+    ///
+    /// Those before it in rank don't reach it, and the elected readers of the
+    /// configuration may not either, so the configuration controller watches it too.
+    pub read_for_others: Event,
     /// Notified when an upstream's error rate is high. Awaited by the health controller.
     pub unhealthy: Event,
 }
