--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod offer;
 mod return_time;
 mod sample;
+mod scope;
 mod split;
 mod subset;
 
@@ -22,6 +23,7 @@
 pub use return_time::ReturnWindow;
 pub use sample::Availability;
 pub use sample::Sample;
+pub use scope::OfferScope;
 pub use split::Splitter;
 pub use subset::subset;
-pub use subset::subset_by_data_centre;
+pub use subset::subset_by_group;
