--- a/crates/mustardtiller-core/src/admit/forecast.rs
+++ b/crates/mustardtiller-core/src/admit/forecast.rs
@@ -47,8 +47,6 @@
     pub slots: u32,
     /// Usual service time of a request of this kind, in microseconds.
     pub service_micros: u64,
-    /// Usual deviation of that service time, in microseconds; zero if it is not known.
-    pub spread_micros: u64,
     /// Usual service time over all kinds, in microseconds.
     pub mean_micros: u64,
     /// The upstream's current slowdown.
@@ -154,8 +152,7 @@
         let start_wait = self.start_wait_micros(ahead);
         let wait = slot_wait.max(start_wait);
         let answered = self.now.plus_micros(self.service_micros + wait);
-        let likely_answered = answered.plus_micros(self.margin_micros(ahead));
-        if !request.target.has_passed(likely_answered) {
+        if !request.target.has_passed(answered) {
             return Admission::Wait;
         }
         if self.is_short() && !request.deadline.has_passed(answered) {
@@ -167,20 +164,6 @@
         }
     }
 
-    /// Return the margin for a longer service time than usual, in microseconds.
-    ///
-    /// Answers an overload, where a request that waits until its last useful start takes
-    /// a slot and is late half of the time. Without a wait for a slot there is no margin,
-    /// since nothing else would use the slot.
-    #[must_use]
-    pub fn margin_micros(&self, ahead: u32) -> u64 {
-        if self.wait_micros(ahead) > 0 {
-            self.spread_micros
-        } else {
-            0
-        }
-    }
-
     /// Return how long the rate that the upstream named keeps a request waiting, in
     /// microseconds.
     ///
--- a/crates/mustardtiller-core/tests/transient_slowdown.rs
+++ b/crates/mustardtiller-core/tests/transient_slowdown.rs
@@ -19,7 +19,6 @@
         limit: 8,
         slots: 8,
         service_micros: SERVICE_MICROS,
-        spread_micros: 0,
         mean_micros: SERVICE_MICROS,
         slowdown,
         starts: None,
@@ -107,7 +106,6 @@
     let full = Forecast {
         running: 8,
         service_micros: 40_000,
-        spread_micros: 0,
         mean_micros: 45_000,
         ..forecast(Slowdown::NONE)
     };
--- a/crates/mustardtiller/src/board/gate/report.rs
+++ b/crates/mustardtiller/src/board/gate/report.rs
@@ -18,7 +18,6 @@
                 0 => mean_micros,
                 known => known,
             };
-        let spread_micros = self.spread_micros[kind_index(kind_digest)].load(Ordering::Relaxed);
         Forecast {
             now,
             running: self.in_flight(),
@@ -26,7 +25,6 @@
             limit: self.limit(),
             slots: self.slots.load(Ordering::SeqCst),
             service_micros: u64::from(service_micros),
-            spread_micros: u64::from(spread_micros),
             mean_micros: u64::from(mean_micros),
             slowdown: self.slowdown.at(now),
             starts: self.start_schedule(),
--- a/crates/mustardtiller/src/board/gate/times.rs
+++ b/crates/mustardtiller/src/board/gate/times.rs
@@ -78,10 +78,6 @@
             band.add(relative);
         }
         let micros = micros.min(u64::from(u32::MAX)) as u32;
-        if estimate > 0 {
-            let deviation = estimate.abs_diff(micros);
-            smooth(&self.spread_micros[kind_index(kind_digest)], deviation);
-        }
         smooth(&self.service_micros[kind_index(kind_digest)], micros);
         smooth(&self.mean_micros, micros);
     }
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -295,11 +295,7 @@
     queue.set_capacity(capacity as usize);
     let forecast = gate.forecast(request.kind_digest, node.clock.now());
     let target = request.admission.target.instant();
-    let likely_micros = match node.settings.discovery {
-        Some(_) => forecast.service_micros + forecast.spread_micros,
-        None => forecast.service_micros,
-    };
-    let start_by = Deadline::at(target.minus_micros(likely_micros));
+    let start_by = Deadline::at(target.minus_micros(forecast.service_micros));
     let last_start = request.admission.deadline.instant();
     let last_start = last_start.minus_micros(forecast.min_service_micros());
     queue.note_offered(request.rank);
