--- a/crates/mustardtiller-core/src/route/offer.rs
+++ b/crates/mustardtiller-core/src/route/offer.rs
@@ -25,24 +25,6 @@
         };
         Self { immediate, ..self }
     }
-
-    /// Return the rule for a call that a run waits for.
-    ///
-    /// It goes first in every queue, and has little time: after one refusal it waits for
-    /// a slot instead of looking for a free one.
-    #[must_use]
-    pub const fn nested(self) -> Self {
-        let offers = self.immediate + self.queued;
-        let immediate = if self.immediate > 1 {
-            1
-        } else {
-            self.immediate
-        };
-        Self {
-            immediate,
-            queued: offers - immediate,
-        }
-    }
 }
 
 /// The remaining offers of one request.
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -213,8 +213,9 @@
         free += u32::from(signals.slot_at() <= now);
         nested |= signals.nested_kinds().contains(kind_digest);
     }
-    let rule = rule.with_room(free);
-    if nested { rule.nested() } else { rule }
+    // A nested call is short, and is best run where the upstream isn't slow, which only
+    // an offer for an immediate start finds out.
+    if nested { rule } else { rule.with_room(free) }
 }
 
 /// Return the reason to retry a refused call, or `None` if it is final.
