--- a/crates/mustardtiller-config/src/artefact/build.rs
+++ b/crates/mustardtiller-config/src/artefact/build.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use super::parts::CallerEntry;
+use super::parts::ColdEntry;
 use super::parts::DataCentreEntry;
 use super::parts::FORMAT;
 use super::parts::FleetPart;
@@ -75,7 +76,7 @@
     Ok(digest)
 }
 
-fn encode<T: Serialize>(name: &str, value: &T) -> Result<Vec<u8>, ArtefactError> {
+pub fn encode<T: Serialize>(name: &str, value: &T) -> Result<Vec<u8>, ArtefactError> {
     let bytes = postcard::to_allocvec(value)
         .map_err(|e| ArtefactError::new(ArtefactErrorKind::Damaged, format!("{name}: {e}")))?;
     if bytes.len() > MAX_VALUE_BYTES {
@@ -115,6 +116,7 @@
             .iter()
             .map(|part| (part.service.to_string(), part.weight))
             .collect(),
+        regions: route.regions.iter().map(ToString::to_string).collect(),
         kind: kind_entry(&route.kind),
     });
     let limits = fleet.limits.map(|limits| LimitsEntry {
@@ -128,6 +130,7 @@
         paths: paths.collect(),
         callers: callers.collect(),
         routes: routes.collect(),
+        evacuated: fleet.evacuated.iter().map(ToString::to_string).collect(),
         limits,
     }
 }
@@ -143,6 +146,10 @@
         eject_percent: service.eject_percent,
         discovered: service.discovered,
         health_path: service.health_path.to_string(),
+        cold: service.cold.map(|cold| ColdEntry {
+            length_ms: cold.length_ms,
+            milli_per_s: cold.rate.as_milli(),
+        }),
         kinds: service.kinds.iter().map(|kind| kind_entry(kind)).collect(),
         upstreams: service
             .upstreams
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -8,6 +8,7 @@
 
 use crate::board::GateState;
 use crate::board::PhaseCell;
+use crate::board::Placement;
 use crate::board::Routes;
 use crate::board::Snapshot;
 use crate::settings::RetryBounds;
@@ -54,8 +55,12 @@
     pub neighbour: Snapshot<Option<SocketAddr>>,
     /// The retry bounds, which a reload of the settings may replace.
     pub retries: Snapshot<RetryBounds>,
-    /// The upstreams that have registered themselves. Written by the registry controller.
+    /// The registered upstreams of configured services. Written by the registry controller.
     pub registry: Snapshot<Registry>,
+    /// All registrations as they were read, which peers fetch.
+    ///
+    /// Written by the registry controller.
+    pub listed: Snapshot<Registry>,
     /// The upstream beside this daemon.
     ///
     /// Written by the routes controller where operators name upstreams,
@@ -65,6 +70,8 @@
     pub routes: Snapshot<Routes>,
     /// The gate's state; [`GateState`] names the writers of its fields.
     pub gate: GateState,
+    /// What operators allow in this host's data centre. Written by the routes controller.
+    pub placement: Placement,
     /// The lifecycle phase of the process; [`PhaseCell`] names its writers.
     pub phase: PhaseCell,
     /// What another daemon last said that it remembers of this one's upstream.
@@ -85,6 +92,11 @@
     ///
     /// The configuration controller then reads the configuration at the same time.
     pub start_read: Event,
+    /// Notified when this daemon reads the registrations out of turn, time after time.
+    ///
+    /// Those before it in rank don't reach it, and the elected readers of the
+    /// configuration may not either, so the configuration controller watches it too.
+    pub read_for_others: Event,
     /// Notified when an upstream's error rate is high. Awaited by the health controller.
     pub unhealthy: Event,
 }
--- a/crates/mustardtiller/src/daemon/run.rs
+++ b/crates/mustardtiller/src/daemon/run.rs
@@ -19,6 +19,7 @@
 use crate::board::Identity;
 use crate::board::Phase;
 use crate::board::PhaseCell;
+use crate::board::Placement;
 use crate::board::Routes;
 use crate::board::Snapshot;
 use crate::clock::Clock;
@@ -175,14 +176,17 @@
         hosts: Snapshot::new(HostList::default()),
         neighbour: Snapshot::new(None),
         registry: Snapshot::new(Registry::default()),
+        listed: Snapshot::new(Registry::default()),
         own_upstream: Snapshot::new(None),
         recheck_local: Signal::new(),
         routes: Snapshot::new(Routes::default()),
         gate: GateState::new(now, warm_at),
+        placement: Placement::new(),
         phase: PhaseCell::new(),
         notice: Snapshot::new(None),
         accepts_callers: AtomicBool::new(true),
         hosts_wanted: Signal::new(),
+        read_for_others: Signal::new(),
         start_read: Signal::new(),
         unhealthy: Signal::new(),
     };
@@ -202,7 +206,8 @@
     let settings = &node.settings;
     // The link's address is bound first: whoever holds it is the upstream's only daemon.
     let link_listener = bind("link", settings.link_listen).await?;
-    let gossip = GossipSocket::bind(settings.link_listen, Arc::clone(&node.metrics)).await;
+    let gossip = GossipSocket::bind(settings.link_listen, Arc::clone(&node.metrics), node.clock);
+    let gossip = gossip.await;
     let gossip = gossip.context(BindSnafu {
         what: "gossip",
         address: settings.link_listen,
--- a/crates/mustardtiller/src/entry/bound.rs
+++ b/crates/mustardtiller/src/entry/bound.rs
@@ -1,5 +1,7 @@
 //! A call whose token allows one gate only.
 
+use std::sync::Arc;
+
 use crate::board::ServiceRoutes;
 use crate::entry::attempt::AttemptCx;
 use crate::entry::attempt::AttemptError;
@@ -20,7 +22,7 @@
 /// If the call's kind ignores tokens, any upstream may run it.
 pub async fn run_with_token(
     cx: AttemptCx<'_>,
-    service: &ServiceRoutes,
+    service: &Arc<ServiceRoutes>,
     token: &Token,
     call: &mut Call,
     trace: &mut Trace,
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -6,6 +6,7 @@
 
 use crate::board::Candidate;
 use crate::board::ServiceRoutes;
+use crate::daemon::Node;
 use crate::entry::attempt::AttemptCx;
 use crate::entry::call::Answer;
 use crate::entry::call::Call;
@@ -30,6 +31,7 @@
 use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::UpstreamName;
+use mustardtiller_core::is_misplaced;
 use mustardtiller_core::may_avoid;
 use mustardtiller_core::reached_upstream;
 use mustardtiller_core::retry_reason;
@@ -53,6 +55,8 @@
     busy: SmallVec<[UpstreamName; 4]>,
     /// Upstreams that get no further offer of this call.
     exhausted: SmallVec<[UpstreamName; 4]>,
+    /// Gates that refused because of where they stand; counted as no attempt.
+    misplaced: u32,
     /// Attempts that reached an upstream or may have reached one.
     reached_attempts: u32,
     /// Most recent refusal.
@@ -77,7 +81,10 @@
         if reached_upstream(refusal) {
             self.reached_attempts += 1;
         }
-        if queue_mode == QueueMode::None && !reached_upstream(refusal) {
+        if is_misplaced(refusal) {
+            self.misplaced += 1;
+            self.exhausted.push(name.clone());
+        } else if queue_mode == QueueMode::None && !reached_upstream(refusal) {
             self.busy.push(name.clone());
         } else {
             self.exhausted.push(name.clone());
@@ -88,13 +95,14 @@
 /// Run a call on any upstream, with retries if safe and within budget.
 pub async fn run_without_token(
     mut cx: AttemptCx<'_>,
-    service: &ServiceRoutes,
+    service: &Arc<ServiceRoutes>,
     call: &mut Call,
     trace: &mut Trace,
 ) -> Result<Answer, Refusal> {
+    let mut service = Arc::clone(service);
     let price = FarPrice::of(cx.node, call);
     let rule = offer_rule(cx, call, price);
-    let mut offers = Offers::new(rule_for_load(cx, service, rule));
+    let mut offers = Offers::new(rule_for_load(cx, &service, rule));
     let mut history = OfferHistory::default();
     // A call that stems from a retry earns no budget; otherwise retries at one depth
     // would pay for retries at the next.
@@ -104,7 +112,7 @@
     }
     while let Some(queue_mode) = offers.next() {
         cx.queue_mode = queue_mode;
-        let Some(candidate) = next_candidate(cx, service, &history, price).await else {
+        let Some(candidate) = next_candidate(cx, &service, &history, price).await else {
             if queue_mode == QueueMode::Queue {
                 break;
             }
@@ -112,21 +120,24 @@
             continue;
         };
         let offer = trace.record_offer(cx, &candidate);
-        let refusal = match hedged(cx, service, &candidate, call).await {
+        let refusal = match hedged(cx, &service, &candidate, call).await {
             Ok(answer) => return Ok(answer),
             Err(e) => e.refusal(),
         };
         trace.record_refusal(offer, refusal);
-        offers.record_refusal(queue_mode);
+        if !is_misplaced(refusal) {
+            offers.record_refusal(queue_mode);
+        }
         history.record_refusal(&candidate.upstream.name, queue_mode, refusal);
-        let Some(reason) = reason_to_retry(cx, service, call, &history, refusal) else {
-            trace.note_return(return_window(cx, service));
+        let Some(reason) = reason_to_retry(cx, &service, call, &history, refusal) else {
+            trace.note_return(return_window(cx, &service));
             return Err(refusal.after(history.unknown));
         };
         cx.node.metrics.count_retry(reason);
         cx.retried |= reached_upstream(refusal);
+        service = renew_service(cx.node, call, service);
     }
-    trace.note_return(return_window(cx, service));
+    trace.note_return(return_window(cx, &service));
     let no_upstream = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
     Err(history
         .last_refusal
@@ -134,6 +145,16 @@
         .after(history.unknown))
 }
 
+/// Return the service with the upstreams that may serve the call now.
+///
+/// The routes may have changed while the call waited at a gate.
+fn renew_service(node: &Node, call: &Call, service: Arc<ServiceRoutes>) -> Arc<ServiceRoutes> {
+    let routes = node.board.routes.read();
+    let name = &service.service.name;
+    let renewed = routes.renew(&call.host, &call.method, call.path(), name);
+    renewed.unwrap_or(service)
+}
+
 /// Return the upstreams that shed with slots free, if they are few among the service's.
 fn avoided(service: &ServiceRoutes, now: Instant) -> SmallVec<[UpstreamName; 4]> {
     let shedding = || {
@@ -234,17 +255,18 @@
     let attempts = if has_forecasts {
         history.reached_attempts
     } else {
-        (history.exhausted.len() + history.busy.len()) as u32
+        (history.exhausted.len() + history.busy.len()) as u32 - history.misplaced
     };
     let context = RetryContext {
         idempotent: cx.kind.idempotent,
-        replayable: matches!(call.body, CallBody::Buffered(_)),
+        // A gate refuses such a call before it reads a body.
+        replayable: matches!(call.body, CallBody::Buffered(_)) || is_misplaced(refusal),
         bound: false,
-        outer_retry: call.outer_retry,
+        outer_retry: call.outer_retry && !is_misplaced(refusal),
         attempts,
         max_attempts: cx.kind.attempts,
     };
-    let unbudgeted = has_forecasts && !reached_upstream(refusal);
+    let unbudgeted = is_misplaced(refusal) || (has_forecasts && !reached_upstream(refusal));
     retry_reason(refusal, context).filter(|_| unbudgeted || service.retries.try_spend())
 }
 
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -85,6 +85,12 @@
     UpstreamRegistered = 210 Info "upstream registered",
     /// An upstream is no longer registered.
     UpstreamUnregistered = 211 Info "upstream no longer registered",
+    /// The platform has an earlier revision than the registry held.
+    RevisionFell = 212 Warn "platform is at an earlier revision",
+    /// The data centre was taken out of service; its gates refuse.
+    Evacuated = 220 Info "data centre evacuated",
+    /// The data centre was taken back into service.
+    TakenBack = 221 Info "data centre taken back",
     /// A link was established.
     LinkUp = 300 Info "link up",
     /// A link was lost.
@@ -119,6 +125,10 @@
     StartRateNamed = 409 Info "upstream named a request rate",
     /// The upstream takes requests without a limit again.
     StartRateEnded = 410 Info "upstream names no request rate",
+    /// The upstream says that it is cold; its gate keeps to the rate that it bears.
+    UpstreamCold = 411 Info "upstream cold",
+    /// The upstream says that it is warm again.
+    UpstreamWarm = 412 Info "upstream warm",
     /// The upstream sheds requests although it has room; entries avoid it for a while.
     UpstreamSheds = 414 Warn "upstream sheds requests with slots free",
     /// The gate learned which kinds of request are made by runs of others.
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -83,6 +83,9 @@
     if deadline.has_passed(received_at) {
         return GateAnswer::refused(unsent.refuse(NotRunReason::DeadlinePassed));
     }
+    if lacks_configuration(node) {
+        return GateAnswer::refused(unsent.refuse(NotRunReason::NoConfiguration));
+    }
     if node.settings.discovery.is_some() {
         let sources = &node.board.gate.sources;
         sources.count(req.kind_digest, &req.caller, req.from_idle_host);
@@ -112,6 +115,13 @@
     answer
 }
 
+/// Report whether the gate can't know yet which limits its upstream's service has.
+///
+/// After a restart it might send a cold upstream more than it bears.
+fn lacks_configuration(node: &Node) -> bool {
+    node.settings.discovery.is_some() && node.board.configuration.read().is_none()
+}
+
 /// Record whether the upstream shed a request, and tell entries if it is to be avoided.
 fn note_shed(node: &Node, answer: &GateAnswer) {
     let shed = match answer {
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -166,6 +166,10 @@
     pub task_delay_ms: Gauge,
     /// Rate that the upstream named, in thousandths per second; zero if it named none.
     pub start_rate_milli: Gauge,
+    /// Whether the upstream last said that it is cold.
+    pub upstream_cold: Gauge,
+    /// Whether the data centre is out of service: one or zero.
+    pub evacuated: Gauge,
     /// Requests in flight at the gate.
     pub gate_in_flight: Gauge,
     /// Kinds of request that the gate knows to be made by runs of others.
@@ -201,11 +205,21 @@
             "task_delay_ms",
             "Delay of the last task that was due, in milliseconds",
         );
+        let upstream_cold = gauge(
+            registry,
+            "upstream_cold",
+            "One if the upstream last said that it is cold",
+        );
         let start_rate_milli = gauge(
             registry,
             "start_rate_milli",
             "Requests that the upstream takes, in thousandths a second; zero if not limited",
         );
+        let evacuated = gauge(
+            registry,
+            "evacuated",
+            "Whether the data centre is out of service",
+        );
         let gate_in_flight = gauge(registry, "gate_in_flight", "Requests in flight at the gate");
         let nested_kinds = gauge(
             registry,
@@ -218,6 +232,8 @@
             caller_connections,
             task_delay_ms,
             start_rate_milli,
+            upstream_cold,
+            evacuated,
             gate_in_flight,
             nested_kinds,
             revision,
