--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -96,7 +96,7 @@
         Evacuated = 26 "evacuated",
         /// The route of the request may not be served in this region.
         OutsideRegion = 27 "outside-region",
-        /// The request lost its place in the gate's queue to one of higher rank.
+        /// The request lost its place in the gate's full queue to one that goes before it.
         Displaced = 28 "displaced",
     }
 );
--- a/crates/mustardtiller-core/src/route/return_time.rs
+++ b/crates/mustardtiller-core/src/route/return_time.rs
@@ -15,7 +15,7 @@
 /// Part of the time to the deadline over which callers that will be late come back.
 const LATE_SPREAD_DIVISOR: u64 = 6;
 
-/// Part of the time to the deadline that callers wait at most.
+/// Part of the time to the deadline beyond which no caller is spread.
 const LONGEST_WAIT_DIVISOR: u64 = 3;
 
 /// What an entry knows of a call that it refuses.
@@ -55,7 +55,7 @@
         let place_at = place_at.map_or(self.now, |at| at.max(self.now));
         let left_micros = self.deadline.instant().micros_since(self.now);
         let latest = self.now.plus_micros(left_micros / LONGEST_WAIT_DIVISOR);
-        let from = place_at.plus_micros(MIN_WAIT_MICROS).min(latest);
+        let from = place_at.plus_micros(MIN_WAIT_MICROS);
         let spread = if in_time {
             MAX_SPREAD_MICROS
         } else {
