--- a/crates/mustardtiller-standin/tests/hostile_bodies.rs
+++ b/crates/mustardtiller-standin/tests/hostile_bodies.rs
@@ -256,6 +256,7 @@
         token: None,
         depth: 0,
         retried: false,
+        from_idle_host: false,
         body: BodyFraming::Streamed { length: None },
     }
 }
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -41,6 +41,7 @@
 
 fn hello(version: u16, upstream: &str) -> Frame {
     Frame::Hello(Hello {
+        link_id: 0,
         version,
         incarnation: 7,
         upstream: upstream.to_owned(),
@@ -88,6 +89,7 @@
         token: None,
         depth: 0,
         retried: false,
+        from_idle_host: false,
         body: BodyFraming::Empty,
     }
 }
--- a/crates/mustardtiller/src/board/gate/report.rs
+++ b/crates/mustardtiller/src/board/gate/report.rs
@@ -19,6 +19,7 @@
                 0 => mean_micros,
                 known => known,
             };
+        let spread_micros = self.spread_micros[kind_index(kind_digest)].load(Ordering::Relaxed);
         Forecast {
             now,
             running: self.in_flight(),
@@ -26,6 +27,7 @@
             limit: self.limit(),
             slots: self.slots.load(Ordering::SeqCst),
             service_micros: u64::from(service_micros),
+            spread_micros: u64::from(spread_micros),
             mean_micros: u64::from(mean_micros),
             slowdown: self.slowdown.at(now),
             starts: self.start_schedule(now),
@@ -53,9 +55,21 @@
             announced_leaving: self.announced_leaving(),
             start_milli: starts.map_or(0, |starts| starts.rate.as_milli()),
             start_wait_ms: self.start_wait_ms(starts, now),
+            shed_wait_ms: self.shedding.wait_ms(now),
+            queue_wait_ms: self.queue_wait_ms(),
+            nested_kinds: self.sources.nested().0,
         }
     }
 
+    /// Return the expected wait of a new request for a slot, in milliseconds.
+    fn queue_wait_ms(&self) -> u16 {
+        let limit = self.limit();
+        let excess = (self.in_flight() + self.waiting() + 1).saturating_sub(limit);
+        let mean_micros = u64::from(self.mean_micros.load(Ordering::Relaxed));
+        let micros = u64::from(excess) * mean_micros / u64::from(limit.max(1));
+        u16::try_from(micros / 1_000).unwrap_or(u16::MAX)
+    }
+
     /// Return the time until another request could start by the schedule, in
     /// milliseconds, rounded up.
     fn start_wait_ms(&self, starts: Option<StartSchedule>, now: Instant) -> u32 {
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -85,6 +85,8 @@
     UpstreamRegistered = 210 Info "upstream registered",
     /// An upstream is no longer registered.
     UpstreamUnregistered = 211 Info "upstream no longer registered",
+    /// The platform has an earlier revision than the registry held.
+    RevisionFell = 212 Warn "platform is at an earlier revision",
     /// The data centre was taken out of service; its gates refuse.
     Evacuated = 220 Info "data centre evacuated",
     /// The data centre was taken back into service.
@@ -127,6 +129,10 @@
     UpstreamCold = 411 Info "upstream cold",
     /// The upstream says that it is warm again.
     UpstreamWarm = 412 Info "upstream warm",
+    /// The upstream sheds requests although it has room; entries avoid it for a while.
+    UpstreamSheds = 414 Warn "upstream sheds requests with slots free",
+    /// The gate learned which kinds of request are made by runs of others.
+    NestedKindsLearned = 415 Info "kinds of nested calls learned",
     /// A caller's request was malformed.
     RequestMalformed = 500 Info "request malformed",
     /// A call ended without the upstream's answer.
