--- a/crates/mustardtiller-core/src/silence/suspicion.rs
+++ b/crates/mustardtiller-core/src/silence/suspicion.rs
@@ -20,7 +20,7 @@
     fn default() -> Self {
         Self {
             grace_ms: 30,
-            max_usual_ms: 60,
+            max_usual_ms: 300,
             look_ms: 10,
             looks: 2,
         }
