--- a/crates/mustardtiller-core/src/admit/mod.rs
+++ b/crates/mustardtiller-core/src/admit/mod.rs
@@ -1,14 +1,25 @@
 //! Admission control at a gate: concurrency limit, wait queue and forecast.
 
+mod call_sources;
 mod cold;
 mod forecast;
+mod held;
 mod idle_callers;
 mod knee;
 mod limiter;
 mod queue;
+mod share_floor;
+mod shed_watch;
 mod slowdown;
 mod start_rate;
+mod wait_rank;
 
+pub use call_sources::KIND_SLOTS;
+pub use call_sources::KindSources;
+pub use call_sources::NestedKinds;
+pub use call_sources::SOURCE_SLOTS;
+pub use call_sources::kind_slot;
+pub use call_sources::nested_kinds;
 pub use cold::ColdReading;
 pub use cold::ColdStart;
 pub use cold::Temperature;
@@ -16,6 +27,9 @@
 pub use forecast::AdmissionRequest;
 pub use forecast::Forecast;
 pub use forecast::QueueMode;
+pub use held::HeldRule;
+pub use held::STALLED_MS;
+pub use held::StalledBody;
 pub use idle_callers::CallerState;
 pub use idle_callers::callers_to_close;
 pub use idle_callers::longest_idle;
@@ -30,7 +44,10 @@
 pub use queue::Urgency;
 pub use queue::WaitQueue;
 pub use queue::Waiter;
+pub use share_floor::ShareFloor;
+pub use shed_watch::ShedWatch;
 pub use slowdown::SLOW_PERCENT;
 pub use slowdown::Slowdown;
 pub use start_rate::StartRate;
 pub use start_rate::StartSchedule;
+pub use wait_rank::WaitRank;
--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -3,7 +3,9 @@
 mod choice;
 mod health;
 mod offer;
+mod return_time;
 mod sample;
+mod scope;
 mod split;
 mod subset;
 
@@ -13,11 +15,15 @@
 pub use choice::choose;
 pub use health::EjectionRule;
 pub use health::ErrorRate;
+pub use health::may_avoid;
 pub use health::may_eject;
 pub use offer::OfferRule;
 pub use offer::Offers;
+pub use return_time::RefusedCall;
+pub use return_time::ReturnWindow;
 pub use sample::Availability;
 pub use sample::Sample;
+pub use scope::OfferScope;
 pub use split::Splitter;
 pub use subset::subset;
-pub use subset::subset_by_data_centre;
+pub use subset::subset_by_group;
--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -7,7 +7,9 @@
 use event_listener::Event;
 
 use crate::board::GateState;
+use crate::board::HeldBytes;
 use crate::board::PhaseCell;
+use crate::board::Placement;
 use crate::board::Routes;
 use crate::board::Snapshot;
 use crate::settings::RetryBounds;
@@ -69,12 +71,16 @@
     pub routes: Snapshot<Routes>,
     /// The gate's state; [`GateState`] names the writers of its fields.
     pub gate: GateState,
+    /// What operators allow in this host's data centre. Written by the routes controller.
+    pub placement: Placement,
     /// The lifecycle phase of the process; [`PhaseCell`] names its writers.
     pub phase: PhaseCell,
     /// What another daemon last said that it remembers of this one's upstream.
     ///
     /// Written by links.
     pub notice: Snapshot<Option<UpstreamNotice>>,
+    /// The bytes that this daemon holds for others. Written by requests.
+    pub held: Arc<HeldBytes>,
     /// Whether the entry can accept connections. Written by the entry listener.
     pub accepts_callers: AtomicBool,
     /// Notified when the upstream beside this daemon may be gone or replaced by another.
--- a/crates/mustardtiller/src/board/gate/mod.rs
+++ b/crates/mustardtiller/src/board/gate/mod.rs
@@ -1,6 +1,7 @@
 //! The gate's state: the load of the upstream beside this daemon.
 
 mod availability;
+mod cold;
 mod report;
 mod starts;
 mod times;
@@ -13,13 +14,17 @@
 use event_listener::Event;
 
 use crate::board::CallerTable;
+use crate::board::ShedState;
 use crate::board::SlowdownState;
 use crate::board::Snapshot;
+use crate::board::SourceCounts;
 use crate::board::gate::times::AtomicBandTimes;
 use crate::board::gate::times::INITIAL_SERVICE_MICROS;
 use crate::board::gate::times::KIND_BUCKETS;
 use mustardtiller_core::Instant;
 
+pub use cold::ColdState;
+pub use cold::ReadingStart;
 pub use times::StartConditions;
 
 /// The load and availability of the upstream beside this daemon.
@@ -34,11 +39,17 @@
     pub callers: Snapshot<CallerTable>,
     /// The upstream's last known slowdown.
     pub slowdown: SlowdownState,
+    /// What is known of the upstream's temperature.
+    pub cold: ColdState,
+    /// Whether the upstream sheds although it has room.
+    pub shedding: ShedState,
+    /// Where requests come from, and which kinds are made by runs.
+    pub sources: SourceCounts,
     /// Notified when the upstream starts or stops accepting new requests.
     pub availability: Event,
     /// Rate that the upstream named, in thousandths per second; zero if it named none.
     start_milli: AtomicU32,
-    /// When the next request is due by that rate, in microseconds.
+    /// When the next request is due by the rate in force, in microseconds.
     start_due: AtomicU64,
     /// Whether an answer has said since the process began whether there is a rate.
     heard_rate: AtomicBool,
@@ -61,6 +72,7 @@
     down: AtomicBool,
     registered: AtomicBool,
     service_micros: [AtomicU32; KIND_BUCKETS],
+    spread_micros: [AtomicU32; KIND_BUCKETS],
     mean_micros: AtomicU32,
     low: AtomicBandTimes,
     high: AtomicBandTimes,
@@ -76,6 +88,9 @@
         Self {
             callers: Snapshot::new(CallerTable::default()),
             slowdown: SlowdownState::default(),
+            cold: ColdState::default(),
+            shedding: ShedState::default(),
+            sources: SourceCounts::new(),
             availability: Event::new(),
             start_milli: AtomicU32::new(0),
             start_due: AtomicU64::new(0),
@@ -96,6 +111,7 @@
             down: AtomicBool::new(false),
             registered: AtomicBool::new(false),
             service_micros: std::array::from_fn(|_| AtomicU32::new(0)),
+            spread_micros: std::array::from_fn(|_| AtomicU32::new(0)),
             mean_micros: AtomicU32::new(INITIAL_SERVICE_MICROS),
             low: AtomicBandTimes::default(),
             high: AtomicBandTimes::default(),
--- a/crates/mustardtiller/src/board/gate/report.rs
+++ b/crates/mustardtiller/src/board/gate/report.rs
@@ -6,6 +6,7 @@
 use super::times::kind_index;
 use mustardtiller_core::Forecast;
 use mustardtiller_core::Instant;
+use mustardtiller_core::StartSchedule;
 use mustardtiller_wire::LoadReport;
 
 impl GateState {
@@ -18,6 +19,7 @@
                 0 => mean_micros,
                 known => known,
             };
+        let spread_micros = self.spread_micros[kind_index(kind_digest)].load(Ordering::Relaxed);
         Forecast {
             now,
             running: self.in_flight(),
@@ -25,9 +27,10 @@
             limit: self.limit(),
             slots: self.slots.load(Ordering::SeqCst),
             service_micros: u64::from(service_micros),
+            spread_micros: u64::from(spread_micros),
             mean_micros: u64::from(mean_micros),
             slowdown: self.slowdown.at(now),
-            starts: self.start_schedule(),
+            starts: self.start_schedule(now),
         }
     }
 
@@ -39,9 +42,10 @@
 
     /// Return the load report for entries.
     ///
-    /// `closing` is whether the daemon itself is leaving.
+    /// `closing` is whether the daemon itself takes no requests.
     #[must_use]
     pub fn load_report(&self, now: Instant, closing: bool) -> LoadReport {
+        let starts = self.reported_schedule(now);
         LoadReport {
             in_flight: self.in_flight() + self.waiting(),
             limit: self.limit(),
@@ -49,17 +53,27 @@
             work_percent: self.slowdown.percent(now).min(u32::from(u16::MAX)) as u16,
             leaving: closing || self.is_leaving() || self.is_down(),
             announced_leaving: self.announced_leaving(),
-            start_milli: self.start_milli.load(Ordering::SeqCst),
-            start_wait_ms: self.start_wait_ms(now),
+            start_milli: starts.map_or(0, |starts| starts.rate.as_milli()),
+            start_wait_ms: self.start_wait_ms(starts, now),
+            shed_wait_ms: self.shedding.wait_ms(now),
+            queue_wait_ms: self.queue_wait_ms(),
+            nested_kinds: self.sources.nested().0,
         }
     }
 
-    /// Return the time until another request could start by the named rate, in
+    /// Return the expected wait of a new request for a slot, in milliseconds.
+    fn queue_wait_ms(&self) -> u16 {
+        let limit = self.limit();
+        let excess = (self.in_flight() + self.waiting() + 1).saturating_sub(limit);
+        let mean_micros = u64::from(self.mean_micros.load(Ordering::Relaxed));
+        let micros = u64::from(excess) * mean_micros / u64::from(limit.max(1));
+        u16::try_from(micros / 1_000).unwrap_or(u16::MAX)
+    }
+
+    /// Return the time until another request could start by the schedule, in
     /// milliseconds, rounded up.
-    fn start_wait_ms(&self, now: Instant) -> u32 {
-        let next = self
-            .start_schedule()
-            .map(|starts| starts.next_start(self.waiting(), now));
+    fn start_wait_ms(&self, starts: Option<StartSchedule>, now: Instant) -> u32 {
+        let next = starts.map(|starts| starts.next_start(self.waiting(), now));
         let micros = next.map_or(0, |next| next.micros_since(now));
         u32::try_from(micros.div_ceil(1_000)).unwrap_or(u32::MAX)
     }
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -6,6 +6,7 @@
 
 use crate::board::Candidate;
 use crate::board::ServiceRoutes;
+use crate::daemon::Node;
 use crate::entry::attempt::AttemptCx;
 use crate::entry::call::Answer;
 use crate::entry::call::Call;
@@ -13,6 +14,7 @@
 use crate::entry::hedge::hedged;
 use crate::entry::link_wait::wait_for_any_link;
 use crate::entry::pick::FarPrice;
+use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
 use crate::entry::trace::Trace;
 use mustardtiller_core::Attempt;
@@ -20,14 +22,19 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::OfferRule;
+use mustardtiller_core::OfferScope;
 use mustardtiller_core::Offers;
 use mustardtiller_core::Policy;
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Refusal;
+use mustardtiller_core::RefusedCall;
 use mustardtiller_core::RetryContext;
 use mustardtiller_core::RetryReason;
+use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::UpstreamName;
+use mustardtiller_core::is_misplaced;
+use mustardtiller_core::may_avoid;
 use mustardtiller_core::reached_upstream;
 use mustardtiller_core::retry_reason;
 
@@ -50,6 +57,8 @@
     busy: SmallVec<[UpstreamName; 4]>,
     /// Upstreams that get no further offer of this call.
     exhausted: SmallVec<[UpstreamName; 4]>,
+    /// Gates that refused because of where they stand; counted as no attempt.
+    misplaced: u32,
     /// Attempts that reached an upstream or may have reached one.
     reached_attempts: u32,
     /// Most recent refusal.
@@ -74,7 +83,10 @@
         if reached_upstream(refusal) {
             self.reached_attempts += 1;
         }
-        if queue_mode == QueueMode::None && !reached_upstream(refusal) {
+        if is_misplaced(refusal) {
+            self.misplaced += 1;
+            self.exhausted.push(name.clone());
+        } else if queue_mode == QueueMode::None && !reached_upstream(refusal) {
             self.busy.push(name.clone());
         } else {
             self.exhausted.push(name.clone());
@@ -85,12 +97,14 @@
 /// Run a call on any upstream, with retries if safe and within budget.
 pub async fn run_without_token(
     mut cx: AttemptCx<'_>,
-    service: &ServiceRoutes,
+    service: &Arc<ServiceRoutes>,
     call: &mut Call,
     trace: &mut Trace,
 ) -> Result<Answer, Refusal> {
+    let mut service = Arc::clone(service);
     let price = FarPrice::of(cx.node, call);
-    let mut offers = Offers::new(offer_rule(cx, call, price));
+    let rule = offer_rule(cx, call, price);
+    let mut offers = Offers::new(rule_for_load(cx, &service, rule));
     let mut history = OfferHistory::default();
     // A call that stems from a retry earns no budget; otherwise retries at one depth
     // would pay for retries at the next.
@@ -100,7 +114,7 @@
     }
     while let Some(queue_mode) = offers.next() {
         cx.queue_mode = queue_mode;
-        let Some(candidate) = next_candidate(cx, service, &history, price).await else {
+        let Some(candidate) = next_candidate(cx, &service, &history, price).await else {
             if queue_mode == QueueMode::Queue {
                 break;
             }
@@ -108,21 +122,24 @@
             continue;
         };
         let offer = trace.record_offer(cx, &candidate);
-        let refusal = match hedged(cx, service, &candidate, call).await {
+        let refusal = match hedged(cx, &service, &candidate, call).await {
             Ok(answer) => return Ok(answer),
             Err(e) => e.refusal(),
         };
         trace.record_refusal(offer, refusal);
-        offers.record_refusal(queue_mode);
+        if !is_misplaced(refusal) {
+            offers.record_refusal(queue_mode);
+        }
         history.record_refusal(&candidate.upstream.name, queue_mode, refusal);
-        let Some(reason) = reason_to_retry(cx, service, call, &history, refusal) else {
-            trace.note_return(earliest_start(service, cx.node.clock.now()));
+        let Some(reason) = reason_to_retry(cx, &service, call, &history, refusal) else {
+            trace.note_return(return_window(cx, &service));
             return Err(refusal.after(history.unknown));
         };
         cx.node.metrics.count_retry(reason);
         cx.retried |= reached_upstream(refusal);
+        service = renew_service(cx.node, call, service);
     }
-    trace.note_return(earliest_start(service, cx.node.clock.now()));
+    trace.note_return(return_window(cx, &service));
     let no_upstream = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
     Err(history
         .last_refusal
@@ -130,18 +147,57 @@
         .after(history.unknown))
 }
 
-/// Return when the first upstream of a service takes another request.
+/// Return the service with the upstreams that may serve the call now.
 ///
-/// Returns `None` unless the rates that they named keep all of them from it now.
-fn earliest_start(service: &ServiceRoutes, now: Instant) -> Option<Instant> {
-    let live = service
-        .candidates
-        .iter()
-        .filter(|candidate| candidate.sample(now).availability == Availability::Live);
-    let starts: Option<SmallVec<[Instant; 16]>> = live
-        .map(|candidate| candidate.signals.next_start(now))
-        .collect();
-    starts?.into_iter().min()
+/// The routes may have changed while the call waited at a gate.
+fn renew_service(node: &Node, call: &Call, service: Arc<ServiceRoutes>) -> Arc<ServiceRoutes> {
+    let routes = node.board.routes.read();
+    let name = &service.service.name;
+    let renewed = routes.renew(&call.host, &call.method, call.path(), name);
+    renewed.unwrap_or(service)
+}
+
+/// Return the upstreams that shed with slots free, if they are few among the service's.
+fn avoided(service: &ServiceRoutes, now: Instant) -> SmallVec<[UpstreamName; 4]> {
+    let shedding = || {
+        let candidates = service.candidates.iter();
+        candidates.filter(|candidate| candidate.signals.is_shedding(now))
+    };
+    if !may_avoid(
+        &service.ejection(),
+        service.candidates.len(),
+        shedding().count(),
+    ) {
+        return SmallVec::new();
+    }
+    shedding()
+        .map(|candidate| candidate.upstream.name.clone())
+        .collect()
+}
+
+/// Return when the caller of a refused call should come back.
+fn return_window(cx: AttemptCx<'_>, service: &ServiceRoutes) -> ReturnWindow {
+    let now = cx.node.clock.now();
+    let live = || {
+        let candidates = service.candidates.iter();
+        candidates.filter(|candidate| candidate.sample(now).availability == Availability::Live)
+    };
+    let place_at = live().map(|candidate| place_at(candidate, now)).min();
+    let latency = live().map(|candidate| candidate.signals.latency_micros());
+    let refused = RefusedCall {
+        now,
+        service_micros: u64::from(latency.max().unwrap_or_default()),
+        target: cx.target,
+        deadline: cx.deadline,
+    };
+    refused.return_window(place_at)
+}
+
+/// Return when an upstream is likely to take another request, by its gate's last report.
+fn place_at(candidate: &Candidate, now: Instant) -> Instant {
+    let signals = &candidate.signals;
+    let start_at = signals.next_start(now).unwrap_or(now);
+    start_at.max(signals.slot_at())
 }
 
 fn offer_rule(cx: AttemptCx<'_>, call: &Call, price: FarPrice) -> OfferRule {
@@ -167,6 +223,23 @@
     }
 }
 
+/// Adapt the offers of a call to what gates have reported.
+fn rule_for_load(cx: AttemptCx<'_>, service: &ServiceRoutes, rule: OfferRule) -> OfferRule {
+    if cx.node.settings.discovery.is_none() {
+        return rule;
+    }
+    let now = cx.node.clock.now();
+    let kind_digest = cx.kind.digest();
+    let (mut free, mut nested) = (0, false);
+    for candidate in &service.candidates {
+        let signals = &candidate.signals;
+        free += u32::from(signals.slot_at() <= now);
+        nested |= signals.nested_kinds().contains(kind_digest);
+    }
+    let rule = rule.with_room(free);
+    if nested { rule.nested() } else { rule }
+}
+
 /// Return the reason to retry a refused call, or `None` if it is final.
 fn reason_to_retry(
     cx: AttemptCx<'_>,
@@ -175,24 +248,36 @@
     history: &OfferHistory,
     refusal: Refusal,
 ) -> Option<RetryReason> {
+    // A retry after the deadline could only take from the budget of the others.
+    if cx.deadline.has_passed(cx.node.clock.now()) {
+        return None;
+    }
     let has_forecasts = cx.node.settings.discovery.is_some();
     let attempts = if has_forecasts {
         history.reached_attempts
     } else {
-        (history.exhausted.len() + history.busy.len()) as u32
+        (history.exhausted.len() + history.busy.len()) as u32 - history.misplaced
     };
     let context = RetryContext {
         idempotent: cx.kind.idempotent,
-        replayable: matches!(call.body, CallBody::Buffered(_)),
+        // A gate refuses such a call before it reads a body.
+        replayable: matches!(call.body, CallBody::Buffered(_)) || is_misplaced(refusal),
         bound: false,
-        outer_retry: call.outer_retry,
+        outer_retry: call.outer_retry && !is_misplaced(refusal),
         attempts,
         max_attempts: cx.kind.attempts,
     };
-    let unbudgeted = has_forecasts && !reached_upstream(refusal);
+    let unbudgeted = is_misplaced(refusal) || (has_forecasts && !reached_upstream(refusal));
     retry_reason(refusal, context).filter(|_| unbudgeted || service.retries.try_spend())
 }
 
+/// Count the upstreams of the own region that may have a free slot, by their last reports.
+fn free_at_home(service: &ServiceRoutes, excluded: &[UpstreamName], now: Instant) -> u32 {
+    let home = service.candidates.iter().filter(|c| !c.in_other_region);
+    let open = home.filter(|c| !excluded.contains(&c.upstream.name));
+    open.filter(|c| c.signals.slot_at() <= now).count() as u32
+}
+
 async fn next_candidate(
     cx: AttemptCx<'_>,
     service: &ServiceRoutes,
@@ -212,19 +297,32 @@
         ..default_policy
     };
     let excluded = history.excluded(cx.queue_mode);
-    let draw = || {
+    let avoided = avoided(service, cx.node.clock.now());
+    let draw_without = |excluded: &[UpstreamName], scope| {
         let now = cx.node.clock.now();
-        let rng = &mut cx.node.rng();
-        pick(
-            &service.candidates,
-            &excluded,
-            cx.queue_mode,
-            &policy,
+        let reach = Reach {
             price,
-            now,
-            rng,
-        )
-        .cloned()
+            scope,
+            left_micros: cx.target.instant().micros_since(now),
+        };
+        let rng = &mut cx.node.rng();
+        let candidates = &service.candidates;
+        let mode = cx.queue_mode;
+        pick(candidates, excluded, mode, &policy, reach, now, rng).cloned()
+    };
+    let draw_in = |scope| {
+        let mut all = excluded.clone();
+        all.extend(avoided.iter().cloned());
+        draw_without(&all, scope).or_else(|| draw_without(&excluded, scope))
+    };
+    let draw = || {
+        let regions = service.candidates.iter().any(|c| c.in_other_region);
+        if cx.node.settings.discovery.is_none() || !regions {
+            return draw_in(OfferScope::Any);
+        }
+        let free = free_at_home(service, &excluded, cx.node.clock.now());
+        let scope = OfferScope::of_offer(cx.queue_mode, history.busy.len() as u32, free);
+        draw_in(scope).or_else(|| draw_in(scope.otherwise(cx.queue_mode)?))
     };
     if let Some(candidate) = draw() {
         return Some(candidate);
--- a/crates/mustardtiller/src/events/catalogue.rs
+++ b/crates/mustardtiller/src/events/catalogue.rs
@@ -87,6 +87,10 @@
     UpstreamUnregistered = 211 Info "upstream no longer registered",
     /// The platform has an earlier revision than the registry held.
     RevisionFell = 212 Warn "platform is at an earlier revision",
+    /// The data centre was taken out of service; its gates refuse.
+    Evacuated = 220 Info "data centre evacuated",
+    /// The data centre was taken back into service.
+    TakenBack = 221 Info "data centre taken back",
     /// A link was established.
     LinkUp = 300 Info "link up",
     /// A link was lost.
@@ -121,6 +125,14 @@
     StartRateNamed = 409 Info "upstream named a request rate",
     /// The upstream takes requests without a limit again.
     StartRateEnded = 410 Info "upstream names no request rate",
+    /// The upstream says that it is cold; its gate keeps to the rate that it bears.
+    UpstreamCold = 411 Info "upstream cold",
+    /// The upstream says that it is warm again.
+    UpstreamWarm = 412 Info "upstream warm",
+    /// The upstream sheds requests although it has room; entries avoid it for a while.
+    UpstreamSheds = 414 Warn "upstream sheds requests with slots free",
+    /// The gate learned which kinds of request are made by runs of others.
+    NestedKindsLearned = 415 Info "kinds of nested calls learned",
     /// A caller's request was malformed.
     RequestMalformed = 500 Info "request malformed",
     /// A call ended without the upstream's answer.
@@ -141,6 +153,8 @@
     ControllerPanicked = 902 Error "controller panicked",
     /// Tasks ran later than they were due.
     TasksDelayed = 903 Warn "tasks delayed",
+    /// Bytes were refused, since the daemon holds as many for others as it may.
+    MemoryFull = 904 Warn "memory for others is full",
 );
 
 impl EventLevel {
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -26,6 +26,7 @@
 use mustardtiller_core::Queued;
 use mustardtiller_core::Urgency;
 use mustardtiller_core::WaitQueue;
+use mustardtiller_core::WaitRank;
 use mustardtiller_core::Waiter;
 
 /// Capacity of the wait queue for each slot.
@@ -69,6 +70,7 @@
 struct PermitRequest {
     caller: Arc<CallerUsage>,
     urgency: Urgency,
+    rank: WaitRank,
     kind_digest: u32,
     admission: AdmissionRequest,
     reply: Sender<Result<Permit, NotRunReason>>,
@@ -117,6 +119,7 @@
     /// Returns the reason if the request is refused.
     pub async fn admit(&self, node: &Arc<Node>, req: &GateRequest) -> Result<Permit, NotRunReason> {
         let gate = &node.board.gate;
+        node.load_probes.read_temperature(node).await;
         let mut limit = check_fast_path(node, req)?;
         if limit.is_some() && node.load_probes.needs_refresh(node) {
             node.load_probes.refresh(node).await;
@@ -126,7 +129,11 @@
         if limit.is_some_and(|limit| gate.try_acquire(limit, node.clock.now())) {
             return Ok(Permit::new(node, caller));
         }
+        let rank = rank_of(node, req);
         node.metrics.count(CounterId::Queued);
+        if rank == WaitRank::Nested {
+            node.metrics.count(CounterId::QueuedNested);
+        }
         let urgency = if req.urgent {
             Urgency::Urgent
         } else {
@@ -136,6 +143,7 @@
         let request = PermitRequest {
             caller,
             urgency,
+            rank,
             kind_digest: req.kind_digest,
             admission: admission_request(req),
             reply,
@@ -145,6 +153,22 @@
     }
 }
 
+/// Return the rank of a request in the wait queue.
+///
+/// Without discovery, priorities are not compared: callers' shares decide there.
+fn rank_of(node: &Node, req: &GateRequest) -> WaitRank {
+    match node.settings.discovery {
+        Some(_) if req.depth > 0 || is_nested(node, req) => WaitRank::Nested,
+        Some(_) => WaitRank::Root(req.priority),
+        None => WaitRank::Root(0),
+    }
+}
+
+/// Report whether a request is of a kind that runs make, as far as the gate has learned.
+fn is_nested(node: &Node, req: &GateRequest) -> bool {
+    node.board.gate.sources.nested().contains(req.kind_digest)
+}
+
 /// Return the concurrency limit up to which a request may start at once.
 ///
 /// Returns `None` if the request has to queue.
@@ -156,6 +180,9 @@
     if node.refuses_new_work() {
         return Err(NotRunReason::Leaving);
     }
+    if let Some(reason) = node.board.placement.refusal(req.kind_digest) {
+        return Err(reason);
+    }
     let gate = &node.board.gate;
     if gate.waiting() > 0 {
         return match req.queue_mode {
@@ -254,7 +281,7 @@
     }
 }
 
-/// Return when the rate that the upstream named allows the next waiting request.
+/// Return when the rate in force allows the next waiting request.
 ///
 /// Returns `None` if it allows one now: then a slot is awaited, not a time.
 fn next_start(node: &Node, queue: &WaitQueue<WaiterHandle>) -> Option<Deadline> {
@@ -262,7 +289,7 @@
         return None;
     }
     let now = node.clock.now();
-    let next = node.board.gate.start_schedule()?.next_start(0, now);
+    let next = node.board.gate.start_schedule(now)?.next_start(0, now);
     (next > now).then_some(Deadline::at(next))
 }
 
@@ -272,10 +299,15 @@
     queue.set_capacity(capacity as usize);
     let forecast = gate.forecast(request.kind_digest, node.clock.now());
     let target = request.admission.target.instant();
-    let start_by = Deadline::at(target.minus_micros(forecast.service_micros));
+    let likely_micros = match node.settings.discovery {
+        Some(_) => forecast.service_micros + forecast.spread_micros,
+        None => forecast.service_micros,
+    };
+    let start_by = Deadline::at(target.minus_micros(likely_micros));
     let last_start = request.admission.deadline.instant();
     let last_start = last_start.minus_micros(forecast.min_service_micros());
-    let ahead = queue.ahead_of(start_by);
+    queue.note_offered(request.rank);
+    let ahead = queue.ahead_of(request.rank, start_by);
     if let Admission::Refuse(reason) = decide(node, &forecast, &request.admission, ahead) {
         // The send fails only if the requester is gone.
         let _ = request.reply.try_send(Err(reason));
@@ -285,6 +317,7 @@
         caller: request.caller.name.clone(),
         weight: request.caller.share,
         urgency: request.urgency,
+        rank: request.rank,
         start_by,
         deadline: Deadline::at(last_start),
         handle: WaiterHandle {
@@ -297,11 +330,15 @@
     };
     gate.add_waiting(1);
     if let Queued::Refused(rejected) = queue.push(waiter) {
+        if rejected.reason == NotRunReason::Displaced {
+            node.metrics.count(CounterId::Displaced);
+        }
         refuse(node, &rejected.handle, rejected.reason);
     }
 }
 
-/// Refuse expired waiters, or all if new work is refused, then grant free slots.
+/// Refuse waiters that are expired or may not be served here, or all if new work is
+/// refused, then grant free slots.
 fn grant(node: &Arc<Node>, queue: &mut WaitQueue<WaiterHandle>) {
     queue.demote_late(node.clock.now());
     for handle in queue.expire(node.clock.now()) {
@@ -312,6 +349,11 @@
             refuse(node, &handle, NotRunReason::Leaving);
         }
     }
+    let placement = &node.board.placement;
+    for handle in queue.remove_if(|w| placement.refusal(w.handle.kind_digest).is_some()) {
+        let reason = placement.refusal(handle.kind_digest);
+        refuse(node, &handle, reason.unwrap_or(NotRunReason::Leaving));
+    }
     let callers = node.board.gate.callers.share();
     let in_use = |name: &CallerName| callers.find(name.as_str()).in_use();
     while let Some(next) = queue.peek(in_use) {
--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -5,6 +5,11 @@
 use std::hash::Hasher;
 use std::sync::Arc;
 
+use bytes::Bytes;
+
+use crate::board::HeldGuard;
+use crate::board::Holder;
+use crate::body::hold;
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::events::GateRecord;
@@ -23,6 +28,7 @@
 use mustardtiller_core::Token;
 use mustardtiller_core::Unsent;
 use mustardtiller_core::Verdict;
+use mustardtiller_wire::AnswerHead;
 
 /// Largest answer body that is stored for repeats, in bytes.
 const MAX_KEPT_ANSWER_BYTES: usize = 8 * 1024;
@@ -63,11 +69,8 @@
             node.ledger.mark_unknown(token.id, *reason);
         }
         GateAnswer::Buffered { head, bytes } if bytes.len() <= MAX_KEPT_ANSWER_BYTES => {
-            let kept = KeptAnswer {
-                head: head.clone(),
-                bytes: bytes.clone(),
-            };
-            node.ledger.finish(token.id, Some(Arc::new(kept)));
+            let kept = keep_answer(node, head, bytes);
+            node.ledger.finish(token.id, kept.map(Arc::new));
         }
         GateAnswer::Buffered { .. } | GateAnswer::Streamed { .. } => {
             node.ledger.finish(token.id, None);
@@ -75,6 +78,18 @@
     }
 }
 
+/// Copy an answer for repeats of its request, if there is room for it.
+fn keep_answer(node: &Node, head: &AnswerHead, bytes: &Bytes) -> Option<KeptAnswer> {
+    let account = &node.board.held;
+    let own = account.held_by(Holder::Ledger);
+    let mut guard = HeldGuard::new(Arc::clone(account), Holder::Ledger);
+    let admitted = guard.try_grow_beside(own, bytes.len() as u64);
+    admitted.then(|| KeptAnswer {
+        head: head.clone(),
+        bytes: hold(Bytes::copy_from_slice(bytes), guard),
+    })
+}
+
 /// Admit a request and exchange it with the upstream.
 async fn run(node: &Arc<Node>, unsent: Unsent, req: GateRequest) -> GateAnswer {
     let received_at = node.clock.now();
@@ -83,6 +98,13 @@
     if deadline.has_passed(received_at) {
         return GateAnswer::refused(unsent.refuse(NotRunReason::DeadlinePassed));
     }
+    if lacks_configuration(node) {
+        return GateAnswer::refused(unsent.refuse(NotRunReason::NoConfiguration));
+    }
+    if node.settings.discovery.is_some() {
+        let sources = &node.board.gate.sources;
+        sources.count(req.kind_digest, &req.caller, req.from_idle_host);
+    }
     let admitted = node.admission.admit(node, &req).await;
     node.metrics
         .record_queue_time(node.clock.now().micros_since(received_at));
@@ -91,6 +113,9 @@
         Ok(permit) => exchange(node, unsent, req, permit).await,
         Err(reason) => GateAnswer::refused(unsent.refuse(reason)),
     };
+    if sent && node.settings.discovery.is_some() {
+        note_shed(node, &answer);
+    }
     // If the request may not wait, its entry offers it to another gate at once and
     // logs the refusal itself.
     let logged_here = sent || queue_mode == QueueMode::Queue;
@@ -105,6 +130,28 @@
     answer
 }
 
+/// Report whether the gate can't know yet which limits its upstream's service has.
+///
+/// After a restart it might send a cold upstream more than it bears.
+fn lacks_configuration(node: &Node) -> bool {
+    node.settings.discovery.is_some() && node.board.configuration.read().is_none()
+}
+
+/// Record whether the upstream shed a request, and tell entries if it is to be avoided.
+fn note_shed(node: &Node, answer: &GateAnswer) {
+    let shed = match answer {
+        GateAnswer::Refused(Verdict::NotRun(reason)) => *reason == NotRunReason::UpstreamShed,
+        GateAnswer::Refused(Verdict::Unknown(_)) => return,
+        GateAnswer::Buffered { .. } | GateAnswer::Streamed { .. } => false,
+    };
+    let gate = &node.board.gate;
+    if let Some(share_milli) = gate.shedding.record(shed, node.clock.now()) {
+        node.metrics.count(CounterId::ShedPauses);
+        Event::UpstreamSheds.log(format_args!("{share_milli} of 1000"));
+        gate.slowdown.slow_changed.notify(usize::MAX);
+    }
+}
+
 fn log_refusal(
     node: &Node,
     id: &[u8],
--- a/crates/mustardtiller/src/link/connector.rs
+++ b/crates/mustardtiller/src/link/connector.rs
@@ -128,7 +128,7 @@
 /// Start the writer of a link, and publish the link in the candidate's slot.
 fn start_link(node: &Node, candidate: &Candidate, connected: Connected) -> RunningLink {
     let gate = connected.gate_incarnation();
-    let (write_queue, writer) = write_queue();
+    let (write_queue, writer) = write_queue(&node.board.held);
     node.spawn(writer.write_all(connected.socket));
     let (link, table) = LinkHandle::new(write_queue, gate, connected.link_id, connected.sample);
     let link = Arc::new(link);
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::board::HeldBytes;
+use crate::board::Holder;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::RetryReason;
@@ -53,12 +55,17 @@
     "Requests hedged" Hedges = "hedges",
     "Connections accepted from callers" CallersAccepted = "callers_accepted",
     "Idle connections of callers closed to make room" CallersDismissed = "callers_dismissed",
+    "Stalled request bodies given up" BodiesStalled = "bodies_stalled",
+    "Answers cut because nobody read them" AnswersUnread = "answers_unread",
     "Connections that a listener failed to accept" AcceptsFailed = "accepts_failed",
     "Hedges that answered first" HedgesWon = "hedges_won",
     "Tokens handed out" TokensMinted = "tokens_minted",
     "Answers repeated from the token ledger" AnswersRepeated = "answers_repeated",
     "Requests admitted by the gate" Admitted = "gate_admitted",
     "Requests that waited in the gate's queue" Queued = "gate_queued",
+    "Requests of nested calls that waited in the gate's queue" QueuedNested = "gate_queued_nested",
+    "Requests that lost their place in the queue to a higher rank" Displaced = "gate_displaced",
+    "Times that the upstream was found to shed with slots free" ShedPauses = "upstream_shed_pauses",
     "Connections made to the upstream" UpstreamConnections = "upstream_connections",
     "Measurements of the upstream's load" Measurements = "measurements",
     "Measurements that failed" MeasurementsFailed = "measurements_failed",
@@ -150,6 +157,8 @@
 /// Microseconds in a second.
 const SECOND_MICROS: f64 = 1_000_000.0;
 
+type HolderLabels = [(&'static str, String); 1];
+
 type EndLabels = [(&'static str, String); 1];
 
 /// The gauges of a daemon.
@@ -163,14 +172,22 @@
     pub task_delay_ms: Gauge,
     /// Rate that the upstream named, in thousandths per second; zero if it named none.
     pub start_rate_milli: Gauge,
+    /// Whether the upstream last said that it is cold.
+    pub upstream_cold: Gauge,
+    /// Whether the data centre is out of service: one or zero.
+    pub evacuated: Gauge,
     /// Requests in flight at the gate.
     pub gate_in_flight: Gauge,
+    /// Kinds of request that the gate knows to be made by runs of others.
+    pub nested_kinds: Gauge,
     /// The configuration revision in force.
     pub revision: Gauge,
     /// Registered upstreams.
     pub registered: Gauge,
     /// Slots of the upstream that the gate uses: its concurrency limit.
     pub slots_filled: Gauge,
+    /// Bytes held for others, in the order of [`Holder::ALL`].
+    held_bytes: Vec<Gauge>,
 }
 
 impl Gauges {
@@ -185,6 +202,13 @@
             "gate_slots_filled",
             "Slots of the upstream that the gate fills",
         );
+        let held = Family::<HolderLabels, Gauge>::default();
+        registry.register("held_bytes", "Bytes held for others", held.clone());
+        let held_bytes = Holder::ALL.iter().map(|holder| {
+            let labels = [("holder", holder.as_str().to_owned())];
+            held.get_or_create_owned(&labels)
+        });
+        let held_bytes = held_bytes.collect();
         let entry_in_flight = gauge(
             registry,
             "entry_in_flight",
@@ -196,22 +220,48 @@
             "task_delay_ms",
             "Delay of the last task that was due, in milliseconds",
         );
+        let upstream_cold = gauge(
+            registry,
+            "upstream_cold",
+            "One if the upstream last said that it is cold",
+        );
         let start_rate_milli = gauge(
             registry,
             "start_rate_milli",
             "Requests that the upstream takes, in thousandths a second; zero if not limited",
         );
+        let evacuated = gauge(
+            registry,
+            "evacuated",
+            "Whether the data centre is out of service",
+        );
         let gate_in_flight = gauge(registry, "gate_in_flight", "Requests in flight at the gate");
+        let nested_kinds = gauge(
+            registry,
+            "gate_nested_kinds",
+            "Kinds of request that runs of other requests make, as learned",
+        );
         let revision = gauge(registry, "revision", "The revision in force");
         Self {
             entry_in_flight,
             caller_connections,
             task_delay_ms,
             start_rate_milli,
+            upstream_cold,
+            evacuated,
             gate_in_flight,
+            nested_kinds,
             revision,
             registered,
             slots_filled,
+            held_bytes,
+        }
+    }
+
+    /// Take over the bytes that the account shows.
+    pub fn set_held_bytes(&self, account: &HeldBytes) {
+        for holder in Holder::ALL {
+            self.held_bytes[*holder as usize].set(account.held_by(*holder) as i64);
         }
     }
 }
