--- a/crates/mustardtiller-standin/tests/disowned_links.rs
+++ b/crates/mustardtiller-standin/tests/disowned_links.rs
@@ -97,6 +97,7 @@
         token: None,
         depth: 0,
         retried: false,
+        from_idle_host: false,
         body: BodyFraming::Empty,
     };
     Frame::Open {
