test(soak): hostile clients at each entry, and a bound on each daemon's memory

Cause: the soak's callers stay inside the limits, and it watched no memory.

Change: a client at each entry holds connections that stop short of the end of a body, a chunk or a head, or send bytes that are no request. A peak above 128 MB is a breach. The end of a caller's connection is a function of its own.

--- a/crates/mustardtiller-core/src/admit/held.rs
+++ b/crates/mustardtiller-core/src/admit/held.rs
@@ -24,8 +24,7 @@
 ///
 /// The load that this answers: a crowd of large bodies, whole or in chunks, that stop
 /// short of their end and stay open. A holder may take a share of what is still free,
-/// so large bodies are refused while short ones are still served, and no holder is
-/// counted on its connection.
+/// so large bodies are refused while short ones are still served.
 ///
 /// # Examples
 ///
--- a/crates/mustardtiller-soak/src/check.rs
+++ b/crates/mustardtiller-soak/src/check.rs
@@ -86,6 +86,7 @@
         }));
     };
     add_breaches("daemons run until they are stopped", &history.own_ends);
+    add_breaches("daemons stay within their memory", &history.over_memory);
     add_breaches("logs are lines of JSON", &history.strange_lines);
     breaches
 }
--- a/crates/mustardtiller-soak/src/daemons.rs
+++ b/crates/mustardtiller-soak/src/daemons.rs
@@ -26,6 +26,9 @@
 /// Port at which a daemon connects to the store.
 pub const STORE_PORT: u16 = 6_000;
 
+/// Memory that a daemon may take, in KB: the target's 128 MB.
+const MAX_MEMORY_KB: u64 = 128 * 1024;
+
 /// Data centres, assigned to hosts in rotation.
 const PLACES: &[&str] = &["here", "there"];
 
@@ -43,6 +46,7 @@
     children: Vec<Option<Child>>,
     exit_expected: Vec<bool>,
     unexpected_exits: Vec<String>,
+    over_memory: Vec<String>,
 }
 
 impl Daemons {
@@ -55,6 +59,7 @@
             children: (0..hosts).map(|_| None).collect(),
             exit_expected: vec![false; hosts],
             unexpected_exits: Vec::new(),
+            over_memory: Vec::new(),
         }
     }
 
@@ -116,6 +121,7 @@
     pub fn signal(&mut self, host: usize, signal: Signal) {
         if signal == Signal::TERM || signal == Signal::KILL {
             self.exit_expected[host] = true;
+            self.check_memory(host);
         }
         let Some(child) = &self.children[host] else {
             return;
@@ -157,6 +163,30 @@
         self.unexpected_exits.clone()
     }
 
+    /// Record a daemon that runs if its memory has passed the target.
+    fn check_memory(&mut self, host: usize) {
+        let Some(child) = &self.children[host] else {
+            return;
+        };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        let peak_kb: u64 = peak.unwrap_or_default();
+        if peak_kb > MAX_MEMORY_KB {
+            self.over_memory
+                .push(format!("daemon {host} took {peak_kb} KB"));
+        }
+    }
+
+    /// Return a line for each daemon whose memory passed the target.
+    pub fn over_memory(&mut self) -> Vec<String> {
+        for host in 0..self.children.len() {
+            self.check_memory(host);
+        }
+        std::mem::take(&mut self.over_memory)
+    }
+
     /// Return the log lines that are not JSON, and all lines on standard error.
     ///
     /// Lines truncated by a kill are skipped.
--- a/crates/mustardtiller-soak/src/history.rs
+++ b/crates/mustardtiller-soak/src/history.rs
@@ -100,6 +100,8 @@
     pub calm_from_ms: u64,
     /// A line for each daemon that exited without SIGTERM or SIGKILL.
     pub own_ends: Vec<String>,
+    /// A line for each daemon whose memory passed the target.
+    pub over_memory: Vec<String>,
     /// Log lines of daemons that are not JSON, and their lines on standard error.
     pub strange_lines: Vec<String>,
 }
--- a/crates/mustardtiller-soak/src/lib.rs
+++ b/crates/mustardtiller-soak/src/lib.rs
@@ -21,6 +21,7 @@
 mod daemons;
 mod fleet;
 mod history;
+mod hostile;
 mod plan;
 mod relay;
 mod run_plan;
--- a/crates/mustardtiller-soak/src/run_plan.rs
+++ b/crates/mustardtiller-soak/src/run_plan.rs
@@ -27,6 +27,7 @@
 use crate::callers::run_caller;
 use crate::daemons::ENTRY_PORT;
 use crate::fleet::Fleet;
+use crate::hostile::run_hostile_client;
 
 /// Threads that run the store, the upstreams, the pipes and the callers.
 const THREADS: usize = 3;
@@ -95,6 +96,7 @@
         smol::block_on(Timer::after(Duration::from_millis(POLL_INTERVAL_MS)));
     }
     history.own_ends = fleet.daemons.unexpected_exits();
+    history.over_memory = fleet.daemons.over_memory();
     history.strange_lines = fleet.daemons.invalid_log_lines();
     history.calls = take_calls(&state);
     let recorded = fleet.recorded.lock().expect("the lock is not poisoned");
@@ -130,6 +132,11 @@
         state.active.fetch_add(1, Ordering::SeqCst);
         runner.spawn(run_caller(executor, Arc::clone(state), caller));
     }
+    for host in 0..plan.scale.hosts {
+        let entry = fleet.block.private(host, ENTRY_PORT);
+        let seed = plan.seed ^ (host as u64 + 1);
+        runner.spawn(run_hostile_client(Arc::clone(state), entry, seed));
+    }
 }
 
 /// Inject and clear faults, replace upstreams and restart daemons until the run ends.
--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connections from callers.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -204,6 +205,13 @@
     }
     // The connection closes once the request in flight is answered.
     connection.as_mut().graceful_shutdown();
+    finish(&node, &caller, connection).await;
+}
+
+/// Wait until a connection that shuts down has ended, or may be closed.
+///
+/// A head that is never completed would keep it open.
+async fn finish(node: &Node, caller: &CallerConnection, mut connection: Pin<&mut impl Future>) {
     loop {
         let limit = Deadline::in_millis(node.clock.now(), FIRST_REQUEST_MS);
         let ended = node.clock.within(limit, connection.as_mut()).await;
