--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -96,8 +96,10 @@
         MemoryFull = 25 "memory-full",
         /// The data centre is out of service.
         Evacuated = 26 "evacuated",
+        /// The request lost its place in the gate's full queue to one that goes before it.
+        Displaced = 27 "displaced",
         /// The route of the request may not be served in this region.
-        OutsideRegion = 27 "outside-region",
+        OutsideRegion = 30 "outside-region",
     }
 );
 
--- a/crates/mustardtiller-core/src/route/offer.rs
+++ b/crates/mustardtiller-core/src/route/offer.rs
@@ -11,6 +11,22 @@
     pub queued: u32,
 }
 
+impl OfferRule {
+    /// Return the rule for a service of which `free` upstreams may have a free slot.
+    ///
+    /// Answers a burst that fills a service: an offer for an immediate start to a gate
+    /// that has just reported a queue costs a round trip and is refused.
+    #[must_use]
+    pub const fn with_room(self, free: u32) -> Self {
+        let immediate = if free < self.immediate {
+            free
+        } else {
+            self.immediate
+        };
+        Self { immediate, ..self }
+    }
+}
+
 /// The remaining offers of one request.
 ///
 /// Only a gate knows the state of its upstream at the instant of the decision,
--- a/crates/mustardtiller-standin/tests/hostile_bodies.rs
+++ b/crates/mustardtiller-standin/tests/hostile_bodies.rs
@@ -256,6 +256,7 @@
         token: None,
         depth: 0,
         retried: false,
+        from_idle_host: false,
         body: BodyFraming::Streamed { length: None },
     }
 }
@@ -264,6 +265,7 @@
     Frame::Hello(Hello {
         version: PROTOCOL_VERSION,
         incarnation: 7,
+        link_id: 1,
         upstream: Fleet::name(0),
         link: ([127, 0, 0, 1], 9).into(),
         notice: None,
--- a/crates/mustardtiller-wire/src/frame/message.rs
+++ b/crates/mustardtiller-wire/src/frame/message.rs
@@ -15,6 +15,24 @@
 /// Version of the link protocol that this program implements.
 pub const PROTOCOL_VERSION: u16 = 6;
 
+/// The streams whose heads were read from a link.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ReadStreams {
+    /// All streams below this number were read.
+    pub below: u32,
+    /// Further streams that were read.
+    pub others: Vec<u32>,
+}
+
+impl ReadStreams {
+    /// Report whether the head of a stream was read.
+    #[must_use]
+    pub fn contains(&self, stream: u32) -> bool {
+        stream < self.below || self.others.contains(&stream)
+    }
+}
+
 /// First frame from the peer that opened the link.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -23,6 +41,8 @@
     pub version: u16,
     /// The incarnation of the sender.
     pub incarnation: u128,
+    /// Random number of the link, by which the sender can disown it on another link.
+    pub link_id: u64,
     /// The upstream that the sender expects to reach.
     pub upstream: String,
     /// The address at which the sender accepts links and gossip.
@@ -85,6 +105,12 @@
     pub start_milli: u32,
     /// Time until another request could start by that rate, in milliseconds.
     pub start_wait_ms: u32,
+    /// Time for which to avoid it, since it sheds although it has room, in milliseconds.
+    pub shed_wait_ms: u16,
+    /// Expected wait of a new request for a slot, in milliseconds.
+    pub queue_wait_ms: u16,
+    /// Kinds of request that runs of other requests make, as a set of slots.
+    pub nested_kinds: u64,
 }
 
 /// Encoded form of the verdict on a request that was not answered.
@@ -248,4 +274,16 @@
     },
     /// The gate is leaving and accepts only requests that carry its tokens.
     GoAway,
+    /// The entry gives up another of its links, which has gone silent.
+    Disown {
+        /// The random number of that link.
+        link_id: u64,
+    },
+    /// Answers a `Disown`: the gate reads no more of that link.
+    Disowned {
+        /// The random number of that link.
+        link_id: u64,
+        /// What it had read, or `None` if it doesn't know any more.
+        read: Option<ReadStreams>,
+    },
 }
--- a/crates/mustardtiller/src/board/gate/starts.rs
+++ b/crates/mustardtiller/src/board/gate/starts.rs
@@ -35,6 +35,7 @@
         self.replace_start_rate(None, now);
         self.heard_rate.store(false, Ordering::SeqCst);
         self.cold.begin_lifetime(now);
+        self.shedding.reset();
     }
 
     /// Replace what operators state about a cold start.
--- a/crates/mustardtiller/src/front/request.rs
+++ b/crates/mustardtiller/src/front/request.rs
@@ -87,6 +87,7 @@
     req: Request<Incoming>,
 ) -> Result<Call, RequestError> {
     let received_at = node.clock.now();
+    let from_idle_host = node.board.gate.in_flight() == 0;
     let host = request_host(&req)?;
     let headers = req.headers();
     if req.method() == Method::CONNECT || headers.contains_key(hyper::header::UPGRADE) {
@@ -129,6 +130,7 @@
         token,
         depth,
         outer_retry,
+        from_idle_host,
         body,
     })
 }
