--- a/crates/mustardtiller/src/controllers/mod.rs
+++ b/crates/mustardtiller/src/controllers/mod.rs
@@ -1,5 +1,6 @@
 //! Controllers, which write the board; each of its sections names its writers.
 
+mod choice;
 mod configuration;
 mod delays;
 mod health;
