--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -17,6 +17,7 @@
 use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
 use crate::entry::trace::Trace;
+use crate::metrics::CounterId;
 use mustardtiller_core::Attempt;
 use mustardtiller_core::Availability;
 use mustardtiller_core::Instant;
@@ -121,6 +122,9 @@
             offers.skip_immediate();
             continue;
         };
+        if candidate.in_other_region {
+            cx.node.metrics.count(CounterId::OffersElsewhere);
+        }
         let offer = trace.record_offer(cx, &candidate);
         let refusal = match hedged(cx, &service, &candidate, call).await {
             Ok(answer) => return Ok(answer),
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -54,6 +54,7 @@
     "Connections accepted from callers" CallersAccepted = "callers_accepted",
     "Idle connections of callers closed to make room" CallersDismissed = "callers_dismissed",
     "Connections that a listener failed to accept" AcceptsFailed = "accepts_failed",
+    "Offers made in other regions" OffersElsewhere = "offers_elsewhere",
     "Hedges that answered first" HedgesWon = "hedges_won",
     "Tokens handed out" TokensMinted = "tokens_minted",
     "Answers repeated from the token ledger" AnswersRepeated = "answers_repeated",
