--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -13,6 +13,9 @@
 use smol::net::TcpStream;
 
 use super::credit::SendCredit;
+use super::disown::DirectoryEntry;
+use super::disown::LinkName;
+use super::disown::SeenStreams;
 use super::handshake;
 use super::inbox::Delivery;
 use super::inbox::InboxSender;
@@ -23,7 +26,10 @@
 use super::responder::Responder;
 use super::write_queue::WriteQueue;
 use super::write_queue::write_queue;
+use crate::board::HeldGuard;
+use crate::board::Holder;
 use crate::board::Phase;
+use crate::body::hold;
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::metrics::CounterId;
@@ -32,6 +38,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Verdict;
+use mustardtiller_wire::BodyFraming;
 use mustardtiller_wire::Frame;
 use mustardtiller_wire::MAX_FRAME_BYTES;
 use mustardtiller_wire::RegistrySnapshot;
@@ -52,6 +59,11 @@
 /// recovers.
 const RECENT_USE_MICROS: u64 = 500_000;
 
+/// Time from the statement of what was read of a disowned link to its end, in milliseconds.
+///
+/// The entry would take the requests as lost if it saw the end first.
+const DISOWNED_MS: u64 = 200;
+
 /// Time without a frame after which a link without streams is closed, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 90_000;
 
@@ -82,7 +94,7 @@
     let _ = socket.set_nodelay(true);
     let deadline = Deadline::in_millis(node.clock.now(), HELLO_TIMEOUT_MS);
     let accepting = handshake::accept(&node.board, node.clock, socket.clone());
-    let (reader, sent_load) = match node.clock.within(deadline, accepting).await {
+    let (reader, sent_load, name) = match node.clock.within(deadline, accepting).await {
         Some(Ok(accepted)) => {
             node.adopt_notice();
             accepted
@@ -98,10 +110,12 @@
             return;
         }
     };
-    let (write_queue, writer) = write_queue();
+    let (write_queue, writer) = write_queue(&node.board.held);
     node.spawn(writer.write_all(socket));
     let (finished_tx, finished_rx) = unbounded();
     let link = ServerLink {
+        entry: node.links.enter(name),
+        seen: SeenStreams::default(),
         node,
         write_queue,
         streams: HashMap::new(),
@@ -127,6 +141,10 @@
     node: Arc<Node>,
     write_queue: WriteQueue,
     streams: HashMap<u32, ServerStream>,
+    /// The link's place among those that the gate serves.
+    entry: DirectoryEntry,
+    /// The streams whose heads were read.
+    seen: SeenStreams,
     /// The `leaving` flag in the welcome, or in the last report of its change.
     reported_leaving: bool,
     finished_tx: Sender<u32>,
@@ -139,6 +157,7 @@
     Read(ReadError),
     Violation(&'static str),
     Idle,
+    Disowned,
 }
 
 impl ServerLink {
@@ -154,6 +173,10 @@
                 Event::FrameMalformed.log(violation);
             }
             ServerLinkEnd::Read(_) | ServerLinkEnd::Idle => {}
+            ServerLinkEnd::Disowned => {
+                self.streams.clear();
+                self.node.clock.sleep_millis(DISOWNED_MS).await;
+            }
         }
         self.write_queue.close();
     }
@@ -201,8 +224,15 @@
                 availability.await;
                 Step::AvailabilityChanged
             };
+            let disowned = self.entry.disowned.clone();
+            let disowned = async {
+                match disowned.recv().await {
+                    Ok(reply) => Step::Disowned(reply),
+                    Err(_) => future::pending().await,
+                }
+            };
             let others = future::or(
-                future::or(drain, availability_changed),
+                future::or(future::or(disowned, drain), availability_changed),
                 future::or(slowdown_changed, idle),
             );
             match future::or(next, others).await {
@@ -226,6 +256,12 @@
                     }
                 }
                 Step::AvailabilityChanged => {}
+                Step::Disowned(reply) => {
+                    let link_id = self.entry.name.id;
+                    let read = self.seen.read();
+                    let _ = reply.send(Frame::Disowned { link_id, read });
+                    return ServerLinkEnd::Disowned;
+                }
                 Step::Draining => {
                     go_away_sent = true;
                     let _ = self.write_queue.send(Frame::GoAway);
@@ -296,8 +332,13 @@
                 let _ = self.write_queue.send(Frame::Value { stream, bytes });
                 Ok(())
             }
+            Frame::Disown { link_id } => {
+                self.disown(link_id);
+                Ok(())
+            }
             Frame::Hello(_)
             | Frame::Welcome(_)
+            | Frame::Disowned { .. }
             | Frame::Admitted { .. }
             | Frame::Refused { .. }
             | Frame::Answer { .. }
@@ -311,7 +352,20 @@
         }
     }
 
-    fn open(&mut self, stream: u32, head: RequestHead) -> Result<(), &'static str> {
+    /// End another link of the same entry, which states here what it has read.
+    fn disown(&self, link_id: u64) {
+        let name = LinkName {
+            id: link_id,
+            ..self.entry.name
+        };
+        if !self.node.links.disown(name, self.write_queue.clone()) {
+            let read = None;
+            let _ = self.write_queue.send(Frame::Disowned { link_id, read });
+        }
+    }
+
+    fn open(&mut self, stream: u32, mut head: RequestHead) -> Result<(), &'static str> {
+        self.seen.insert(stream);
         if self.streams.contains_key(&stream) {
             return Err("stream opened twice");
         }
@@ -323,6 +377,10 @@
             self.refuse(stream, NotRunReason::WrongUpstream);
             return Ok(());
         }
+        if !self.hold_body(&mut head) {
+            self.refuse(stream, NotRunReason::MemoryFull);
+            return Ok(());
+        }
         let (inbox_tx, inbox) = inbox(stream, self.write_queue.clone());
         let credit = Arc::new(SendCredit::new());
         let responder = Responder {
@@ -354,6 +412,25 @@
         Ok(())
     }
 
+    /// Charge a body that came with its head; returns false if there is no room for it.
+    ///
+    /// A request with a token is never refused here, as only the ledger may void the token.
+    fn hold_body(&self, head: &mut RequestHead) -> bool {
+        let BodyFraming::Inline(bytes) = &mut head.body else {
+            return true;
+        };
+        let account = Arc::clone(&self.node.board.held);
+        let mut guard = HeldGuard::new(account, Holder::Requests);
+        let length = bytes.len() as u64;
+        if head.token.is_some() {
+            guard.grow(length);
+        } else if !guard.try_grow(length) {
+            return false;
+        }
+        *bytes = hold(std::mem::take(bytes), guard);
+        true
+    }
+
     fn refuse(&self, stream: u32, reason: NotRunReason) {
         let verdict = Verdict::NotRun(reason).into();
         let load = self.node.load_report();
@@ -443,5 +520,6 @@
     Draining,
     AvailabilityChanged,
     SlowdownChanged,
+    Disowned(WriteQueue),
     Idle,
 }
--- a/crates/mustardtiller/src/link/stream.rs
+++ b/crates/mustardtiller/src/link/stream.rs
@@ -8,6 +8,7 @@
 use super::credit::MAX_CHUNK_BYTES;
 use super::credit::SendCredit;
 use super::inbox::Inbox;
+use mustardtiller_core::NotRunReason;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::Verdict;
 use mustardtiller_wire::AnswerHead;
@@ -84,6 +85,9 @@
             Some(_) => Reply::Lost(UnknownReason::BadAnswer),
             None => {
                 self.done = true;
+                if self.link.is_unread(self.stream) {
+                    return Reply::Refused(Verdict::NotRun(NotRunReason::Unreachable));
+                }
                 Reply::Lost(self.link.lost_reason())
             }
         }
@@ -197,6 +201,8 @@
                 Some(Err(UnknownReason::AnswerCut))
             }
             Some(_) => Some(Err(UnknownReason::BadAnswer)),
+            // The gate still sends; dropping the stream cancels it.
+            None if stream.inbox.is_overrun() => Some(Err(UnknownReason::AnswerCut)),
             None => {
                 stream.done = true;
                 Some(Err(stream.link.lost_reason()))
