--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -58,6 +58,7 @@
     "Stalled request bodies given up" BodiesStalled = "bodies_stalled",
     "Answers cut because nobody read them" AnswersUnread = "answers_unread",
     "Connections that a listener failed to accept" AcceptsFailed = "accepts_failed",
+    "Offers made in other regions" OffersElsewhere = "offers_elsewhere",
     "Hedges that answered first" HedgesWon = "hedges_won",
     "Tokens handed out" TokensMinted = "tokens_minted",
     "Answers repeated from the token ledger" AnswersRepeated = "answers_repeated",
