--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -92,10 +92,12 @@
         EntryFull = 23 "entry-full",
         /// The upstream takes only so many requests a second, and these have started.
         RateLimited = 24 "rate-limited",
-        /// The request lost its place in the gate's queue to one of higher rank.
-        Displaced = 27 "displaced",
+        /// The daemon holds as many bytes for others as it may.
+        MemoryFull = 25 "memory-full",
         /// The data centre is out of service.
         Evacuated = 26 "evacuated",
+        /// The request lost its place in the gate's full queue to one that goes before it.
+        Displaced = 27 "displaced",
         /// The route of the request may not be served in this region.
         OutsideRegion = 30 "outside-region",
     }
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -14,6 +14,7 @@
 use crate::entry::hedge::hedged;
 use crate::entry::link_wait::wait_for_any_link;
 use crate::entry::pick::FarPrice;
+use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
 use crate::entry::trace::Trace;
 use mustardtiller_core::Attempt;
@@ -21,6 +22,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::OfferRule;
+use mustardtiller_core::OfferScope;
 use mustardtiller_core::Offers;
 use mustardtiller_core::Policy;
 use mustardtiller_core::QueueMode;
@@ -234,8 +236,9 @@
         free += u32::from(signals.slot_at() <= now);
         nested |= signals.nested_kinds().contains(kind_digest);
     }
-    let rule = rule.with_room(free);
-    if nested { rule.nested() } else { rule }
+    // A nested call is short, and is best run where the upstream isn't slow, which only
+    // an offer for an immediate start finds out.
+    if nested { rule } else { rule.with_room(free) }
 }
 
 /// Return the reason to retry a refused call, or `None` if it is final.
@@ -269,6 +272,13 @@
     retry_reason(refusal, context).filter(|_| unbudgeted || service.retries.try_spend())
 }
 
+/// Count the upstreams of the own region that may have a free slot, by their last reports.
+fn free_at_home(service: &ServiceRoutes, excluded: &[UpstreamName], now: Instant) -> u32 {
+    let home = service.candidates.iter().filter(|c| !c.in_other_region);
+    let open = home.filter(|c| !excluded.contains(&c.upstream.name));
+    open.filter(|c| c.signals.slot_at() <= now).count() as u32
+}
+
 async fn next_candidate(
     cx: AttemptCx<'_>,
     service: &ServiceRoutes,
@@ -289,24 +299,31 @@
     };
     let excluded = history.excluded(cx.queue_mode);
     let avoided = avoided(service, cx.node.clock.now());
-    let draw_without = |excluded: &[UpstreamName]| {
+    let draw_without = |excluded: &[UpstreamName], scope| {
         let now = cx.node.clock.now();
-        let rng = &mut cx.node.rng();
-        pick(
-            &service.candidates,
-            excluded,
-            cx.queue_mode,
-            &policy,
+        let reach = Reach {
             price,
-            now,
-            rng,
-        )
-        .cloned()
+            scope,
+            left_micros: cx.target.instant().micros_since(now),
+        };
+        let rng = &mut cx.node.rng();
+        let candidates = &service.candidates;
+        let mode = cx.queue_mode;
+        pick(candidates, excluded, mode, &policy, reach, now, rng).cloned()
     };
-    let draw = || {
+    let draw_in = |scope| {
         let mut all = excluded.clone();
         all.extend(avoided.iter().cloned());
-        draw_without(&all).or_else(|| draw_without(&excluded))
+        draw_without(&all, scope).or_else(|| draw_without(&excluded, scope))
+    };
+    let draw = || {
+        let regions = service.candidates.iter().any(|c| c.in_other_region);
+        if cx.node.settings.discovery.is_none() || !regions {
+            return draw_in(OfferScope::Any);
+        }
+        let free = free_at_home(service, &excluded, cx.node.clock.now());
+        let scope = OfferScope::of_offer(cx.queue_mode, history.busy.len() as u32, free);
+        draw_in(scope).or_else(|| draw_in(scope.otherwise(cx.queue_mode)?))
     };
     if let Some(candidate) = draw() {
         return Some(candidate);
