fix(entry): the usual service time of a refused call is the mean, not the worst

Change: the mean of the service's smoothed latencies decides whether a caller that comes back can be in time.

--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -183,10 +183,11 @@
         candidates.filter(|candidate| candidate.sample(now).availability == Availability::Live)
     };
     let place_at = live().map(|candidate| place_at(candidate, now)).min();
-    let latency = live().map(|candidate| candidate.signals.latency_micros());
+    let latencies = live().map(|candidate| u64::from(candidate.signals.latency_micros()));
+    let mean_micros = latencies.sum::<u64>().checked_div(live().count() as u64);
     let refused = RefusedCall {
         now,
-        service_micros: u64::from(latency.max().unwrap_or_default()),
+        service_micros: mean_micros.unwrap_or_default(),
         target: cx.target,
         deadline: cx.deadline,
     };
