fix(link): a late frame of a stream that has ended closes no link

Cause: a gate that is told to cancel a request while its last frame is on the way sends a second last frame. The entry took a frame for a stream that is not open as a violation and closed the link, with the requests of other callers on it.

Change: frames of a stream that was opened and has ended are counted as late and dropped. A frame for a stream that was never opened is a violation as before.

--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -280,6 +280,11 @@
         self.frame_received.listen()
     }
 
+    /// Report whether a stream of this number was ever opened.
+    pub(super) fn has_opened(&self, stream: u32) -> bool {
+        (1..self.next_stream.load(Ordering::SeqCst)).contains(&stream)
+    }
+
     /// Record what the gate had read when the link was disowned.
     ///
     /// It reads no more, so that a request that it has not read never runs.
--- a/crates/mustardtiller/src/link/table.rs
+++ b/crates/mustardtiller/src/link/table.rs
@@ -122,11 +122,11 @@
                 }
                 Ok(())
             }
-            Frame::Admitted { stream } => self.deliver(stream, frame, 0, false, metrics),
+            Frame::Admitted { stream } => self.deliver(stream, frame, (0, false), link, metrics),
             Frame::Refused { stream, .. }
             | Frame::AnswerEnd { stream }
             | Frame::AnswerCut { stream }
-            | Frame::Value { stream, .. } => self.deliver(stream, frame, 0, true, metrics),
+            | Frame::Value { stream, .. } => self.deliver(stream, frame, (0, true), link, metrics),
             Frame::Answer {
                 stream,
                 ref bytes,
@@ -134,11 +134,11 @@
                 ..
             } => {
                 let count = bytes.len();
-                self.deliver(stream, frame, count, last, metrics)
+                self.deliver(stream, frame, (count, last), link, metrics)
             }
             Frame::AnswerData { stream, ref bytes } => {
                 let count = bytes.len();
-                self.deliver(stream, frame, count, false, metrics)
+                self.deliver(stream, frame, (count, false), link, metrics)
             }
             Frame::Hello(_)
             | Frame::Welcome(_)
@@ -154,16 +154,24 @@
         }
     }
 
+    /// Deliver a frame to its stream: `bytes` of a body, and whether it is the `last` frame.
+    ///
+    /// A cancel may cross the answer: frames of a stream that has ended are late, and end
+    /// no other stream.
     fn deliver(
         &mut self,
         stream: u32,
         frame: Frame,
-        bytes: usize,
-        last: bool,
+        (bytes, last): (usize, bool),
+        link: &LinkHandle,
         metrics: &Metrics,
     ) -> Result<(), &'static str> {
         let Some((inbox_tx, _)) = self.streams.get(&stream) else {
-            return Err("frame for a stream that is not open");
+            if link.has_opened(stream) {
+                metrics.count(CounterId::AnswersLate);
+                return Ok(());
+            }
+            return Err("frame for a stream that was never opened");
         };
         let delivery = inbox_tx.deliver(frame, bytes);
         if last {
