fix(route): forget the timeout of a single caller

Cause: the longest remaining time ever seen on a route counted as its callers' timeout, so that after one caller with a much longer deadline all others counted as repeats past their latency target, and were no longer queued.

--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -1,5 +1,6 @@
 //! Routing: the choice of an upstream for a request.
 
+mod caller_timeout;
 mod choice;
 mod health;
 mod offer;
@@ -9,6 +10,7 @@
 mod split;
 mod subset;
 
+pub use caller_timeout::CallerTimeout;
 pub use choice::Choice;
 pub use choice::Policy;
 pub use choice::Preference;
--- a/crates/mustardtiller/src/board/routes.rs
+++ b/crates/mustardtiller/src/board/routes.rs
@@ -2,8 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 use smallvec::SmallVec;
 
@@ -11,7 +9,9 @@
 use mustardtiller_config::Kind;
 use mustardtiller_config::Route;
 use mustardtiller_config::Service;
+use mustardtiller_core::CallerTimeout;
 use mustardtiller_core::EjectionRule;
+use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::RetryBudget;
 use mustardtiller_core::ServiceName;
@@ -88,27 +88,13 @@
     pub route: Arc<Route>,
     /// Splits requests between the parts by weight; shared between successive snapshots.
     pub splitter: Arc<Splitter>,
-    /// The callers' timeout, in microseconds: the longest remaining time seen so far.
-    ///
-    /// Shared between successive snapshots.
-    pub caller_timeout_micros: Arc<AtomicU64>,
+    /// The timeout with which callers start; shared between successive snapshots.
+    pub caller_timeout: Arc<CallerTimeout>,
     /// The parts with only the upstreams in the route's regions; empty if all may serve it.
     pub homes: SmallVec<[Arc<ServiceRoutes>; 2]>,
 }
 
 impl ActiveRoute {
-    /// Estimate the time since the caller's first attempt, in microseconds.
-    ///
-    /// Callers of one route start with the same timeout, and one that retries after
-    /// a refusal has less of it left. The first attempt counts because the caller's
-    /// own caller has been waiting since then.
-    fn elapsed_micros(&self, left_micros: u64) -> u64 {
-        let caller_timeout = self
-            .caller_timeout_micros
-            .fetch_max(left_micros, Ordering::Relaxed);
-        caller_timeout.saturating_sub(left_micros)
-    }
-
     /// Return a part of the route, with the upstreams that may serve it.
     fn part(&self, name: &ServiceName, routes: &Routes) -> Option<Arc<ServiceRoutes>> {
         let part = if self.route.regions.is_empty() {
@@ -156,7 +142,9 @@
     /// Find the service and kind of a request.
     ///
     /// Each look-up counts as one request in the split between the parts of a
-    /// route. `left_micros` is the time to the caller's deadline, in microseconds.
+    /// route. `left_micros` is the time to the caller's deadline, in microseconds. The
+    /// time since the caller's first attempt counts, because the caller's own caller has
+    /// been waiting since then.
     ///
     /// # Errors
     ///
@@ -167,13 +155,15 @@
         method: &str,
         path: &str,
         left_micros: Option<u64>,
+        now: Instant,
     ) -> Result<RouteMatch, NotRunReason> {
         if let Some(active) = self.route_of(host, method, path) {
             let service = active.part(active.pick_part(), self);
             return Ok(RouteMatch {
                 service: service.ok_or(NotRunReason::NoService)?,
                 kind: Arc::clone(&active.route.kind),
-                elapsed_micros: left_micros.map_or(0, |left| active.elapsed_micros(left)),
+                elapsed_micros: left_micros
+                    .map_or(0, |left| active.caller_timeout.elapsed_micros(left, now)),
             });
         }
         let Some(service) = self.hosts.get(host) else {
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -3,7 +3,6 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 
 use smallvec::SmallVec;
 use smol::future;
@@ -22,6 +21,7 @@
 use mustardtiller_config::Route;
 use mustardtiller_config::Service;
 use mustardtiller_config::Upstream;
+use mustardtiller_core::CallerTimeout;
 use mustardtiller_core::HostList;
 use mustardtiller_core::MemberState;
 use mustardtiller_core::Registration;
@@ -117,15 +117,15 @@
             || Arc::new(Splitter::new(node.rng().u32(..))),
             |previous| Arc::clone(&previous.splitter),
         );
-        let caller_timeout_micros = previous.map_or_else(
-            || Arc::new(AtomicU64::new(0)),
-            |previous| Arc::clone(&previous.caller_timeout_micros),
+        let caller_timeout = previous.map_or_else(
+            || Arc::new(CallerTimeout::default()),
+            |previous| Arc::clone(&previous.caller_timeout),
         );
         let active = ActiveRoute {
             homes: derive_homes(node, route, &routes),
             route: Arc::clone(route),
             splitter,
-            caller_timeout_micros,
+            caller_timeout,
         };
         let paths = routes.routes.entry(Arc::clone(&route.host)).or_default();
         paths.insert(Arc::clone(&route.kind.path), active);
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -100,7 +100,14 @@
     let time_left_micros = call
         .deadline
         .map(|d| d.instant().micros_since(call.received_at));
-    let found = routes.find(&call.host, &call.method, call.path(), time_left_micros)?;
+    let (path, received_at) = (call.path(), call.received_at);
+    let found = routes.find(
+        &call.host,
+        &call.method,
+        path,
+        time_left_micros,
+        received_at,
+    )?;
     match (found.kind.token, &call.token) {
         (TokenRule::Ignored, _) => call.token = None,
         (TokenRule::Needed, None) => return Err(NotRunReason::TokenNeeded),
