--- a/crates/mustardtiller-core/src/outcome/reason.rs
+++ b/crates/mustardtiller-core/src/outcome/reason.rs
@@ -96,7 +96,7 @@
         MemoryFull = 25 "memory-full",
         /// The data centre is out of service.
         Evacuated = 26 "evacuated",
-        /// The request lost its place in the gate's queue to one of higher rank.
+        /// The request lost its place in the gate's full queue to one that goes before it.
         Displaced = 27 "displaced",
         /// The route of the request may not be served in this region.
         OutsideRegion = 30 "outside-region",
