--- a/crates/mustardtiller/src/entry/mod.rs
+++ b/crates/mustardtiller/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod offers;
 mod pick;
 mod race;
+mod room;
 mod token;
 mod trace;
 
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -16,10 +16,12 @@
 use crate::entry::pick::FarPrice;
 use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
+use crate::entry::room::avoided;
+use crate::entry::room::return_window;
+use crate::entry::room::rule_for_load;
 use crate::entry::trace::Trace;
 use crate::metrics::CounterId;
 use mustardtiller_core::Attempt;
-use mustardtiller_core::Availability;
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::OfferRule;
@@ -28,14 +30,11 @@
 use mustardtiller_core::Policy;
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Refusal;
-use mustardtiller_core::RefusedCall;
 use mustardtiller_core::RetryContext;
 use mustardtiller_core::RetryReason;
-use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::is_misplaced;
-use mustardtiller_core::may_avoid;
 use mustardtiller_core::reached_upstream;
 use mustardtiller_core::retry_reason;
 
@@ -161,50 +160,6 @@
     renewed.unwrap_or(service)
 }
 
-/// Return the upstreams that shed with slots free, if they are few among the service's.
-fn avoided(service: &ServiceRoutes, now: Instant) -> SmallVec<[UpstreamName; 4]> {
-    let shedding = || {
-        let candidates = service.candidates.iter();
-        candidates.filter(|candidate| candidate.signals.is_shedding(now))
-    };
-    if !may_avoid(
-        &service.ejection(),
-        service.candidates.len(),
-        shedding().count(),
-    ) {
-        return SmallVec::new();
-    }
-    shedding()
-        .map(|candidate| candidate.upstream.name.clone())
-        .collect()
-}
-
-/// Return when the caller of a refused call should come back.
-fn return_window(cx: AttemptCx<'_>, service: &ServiceRoutes) -> ReturnWindow {
-    let now = cx.node.clock.now();
-    let live = || {
-        let candidates = service.candidates.iter();
-        candidates.filter(|candidate| candidate.sample(now).availability == Availability::Live)
-    };
-    let place_at = live().map(|candidate| place_at(candidate, now)).min();
-    let latencies = live().map(|candidate| u64::from(candidate.signals.latency_micros()));
-    let mean_micros = latencies.sum::<u64>().checked_div(live().count() as u64);
-    let refused = RefusedCall {
-        now,
-        service_micros: mean_micros.unwrap_or_default(),
-        target: cx.target,
-        deadline: cx.deadline,
-    };
-    refused.return_window(place_at)
-}
-
-/// Return when an upstream is likely to take another request, by its gate's last report.
-fn place_at(candidate: &Candidate, now: Instant) -> Instant {
-    let signals = &candidate.signals;
-    let start_at = signals.next_start(now).unwrap_or(now);
-    start_at.max(signals.slot_at())
-}
-
 fn offer_rule(cx: AttemptCx<'_>, call: &Call, price: FarPrice) -> OfferRule {
     if cx.node.settings.discovery.is_none() {
         return OfferRule {
@@ -228,24 +183,6 @@
     }
 }
 
-/// Adapt the offers of a call to what gates have reported.
-fn rule_for_load(cx: AttemptCx<'_>, service: &ServiceRoutes, rule: OfferRule) -> OfferRule {
-    if cx.node.settings.discovery.is_none() {
-        return rule;
-    }
-    let now = cx.node.clock.now();
-    let kind_digest = cx.kind.digest();
-    let (mut free, mut nested) = (0, false);
-    for candidate in &service.candidates {
-        let signals = &candidate.signals;
-        free += u32::from(signals.slot_at() <= now);
-        nested |= signals.nested_kinds().contains(kind_digest);
-    }
-    // A nested call is short, and is best run where the upstream isn't slow, which only
-    // an offer for an immediate start finds out.
-    if nested { rule } else { rule.with_room(free) }
-}
-
 /// Return the reason to retry a refused call, or `None` if it is final.
 fn reason_to_retry(
     cx: AttemptCx<'_>,
--- /dev/null
+++ b/crates/mustardtiller/src/entry/room.rs
@@ -0,0 +1,76 @@
+//! What gates have reported of their room, as it bears on a call.
+
+use smallvec::SmallVec;
+
+use crate::board::Candidate;
+use crate::board::ServiceRoutes;
+use crate::entry::attempt::AttemptCx;
+use mustardtiller_core::Availability;
+use mustardtiller_core::Instant;
+use mustardtiller_core::OfferRule;
+use mustardtiller_core::RefusedCall;
+use mustardtiller_core::ReturnWindow;
+use mustardtiller_core::UpstreamName;
+use mustardtiller_core::may_avoid;
+
+/// Return the upstreams that shed with slots free, if they are few among the service's.
+pub fn avoided(service: &ServiceRoutes, now: Instant) -> SmallVec<[UpstreamName; 4]> {
+    let shedding = || {
+        let candidates = service.candidates.iter();
+        candidates.filter(|candidate| candidate.signals.is_shedding(now))
+    };
+    if !may_avoid(
+        &service.ejection(),
+        service.candidates.len(),
+        shedding().count(),
+    ) {
+        return SmallVec::new();
+    }
+    shedding()
+        .map(|candidate| candidate.upstream.name.clone())
+        .collect()
+}
+
+/// Return when the caller of a refused call should come back.
+pub fn return_window(cx: AttemptCx<'_>, service: &ServiceRoutes) -> ReturnWindow {
+    let now = cx.node.clock.now();
+    let live = || {
+        let candidates = service.candidates.iter();
+        candidates.filter(|candidate| candidate.sample(now).availability == Availability::Live)
+    };
+    let place_at = live().map(|candidate| place_at(candidate, now)).min();
+    let latencies = live().map(|candidate| u64::from(candidate.signals.latency_micros()));
+    let mean_micros = latencies.sum::<u64>().checked_div(live().count() as u64);
+    let refused = RefusedCall {
+        now,
+        service_micros: mean_micros.unwrap_or_default(),
+        target: cx.target,
+        deadline: cx.deadline,
+    };
+    refused.return_window(place_at)
+}
+
+/// Return when an upstream is likely to take another request, by its gate's last report.
+fn place_at(candidate: &Candidate, now: Instant) -> Instant {
+    let signals = &candidate.signals;
+    let start_at = signals.next_start(now).unwrap_or(now);
+    start_at.max(signals.slot_at())
+}
+
+/// Adapt the offers of a call to what gates have reported.
+pub fn rule_for_load(cx: AttemptCx<'_>, service: &ServiceRoutes, rule: OfferRule) -> OfferRule {
+    if cx.node.settings.discovery.is_none() {
+        return rule;
+    }
+    let now = cx.node.clock.now();
+    let kind_digest = cx.kind.digest();
+    let (mut free, mut nested) = (0, false);
+    for candidate in &service.candidates {
+        let signals = &candidate.signals;
+        free += u32::from(signals.slot_at() <= now);
+        nested |= signals.nested_kinds().contains(kind_digest);
+    }
+    // A nested call is short, and is best run where the upstream isn't slow, which only
+    // an offer for an immediate start finds out.
+    if nested { rule } else { rule.with_room(free) }
+}
