fix(link): a lost packet is no silent link

Cause: a gate that answered on a second link counted as proof that the first one was silent, and the requests on it ended as unknown. A packet that is lost looks the same for 200 ms. Change: the second link takes new requests at once; those on the first one go on there. It is closed when they have ended, or given up after three silent rounds of 200 ms, when the gate states what it had read.

--- a/crates/mustardtiller-standin/src/pipe/faults.rs
+++ b/crates/mustardtiller-standin/src/pipe/faults.rs
@@ -34,6 +34,8 @@
     frozen_from_target: AtomicBool,
     /// Number of the last silent connection, or zero; earlier ones are silent too.
     last_silent: AtomicU64,
+    /// Number of the last stalled connection, or zero; earlier ones are stalled too.
+    last_stalled: AtomicU64,
     connections: AtomicU64,
     delay_micros: AtomicU64,
     repeating: AtomicBool,
@@ -109,6 +111,21 @@
         self.shared.last_silent.store(connections, Ordering::SeqCst);
     }
 
+    /// Stop forwarding on every open connection until it is released.
+    ///
+    /// New connections are forwarded, as when a packet of the open ones is lost.
+    pub fn stall_open(&self) {
+        let connections = self.shared.connections.load(Ordering::SeqCst);
+        self.shared
+            .last_stalled
+            .store(connections, Ordering::SeqCst);
+    }
+
+    /// Go on forwarding on the connections that are stalled.
+    pub fn release_stalled(&self) {
+        self.shared.last_stalled.store(0, Ordering::SeqCst);
+    }
+
     /// Delay bytes in both directions by `micros` microseconds.
     pub fn set_delay_micros(&self, micros: u64) {
         self.shared.delay_micros.store(micros, Ordering::SeqCst);
@@ -267,6 +284,9 @@
     if number <= shared.last_silent.load(Ordering::SeqCst) {
         future::pending::<()>().await;
     }
+    while number <= shared.last_stalled.load(Ordering::SeqCst) {
+        Timer::after(Duration::from_millis(POLL_MS)).await;
+    }
     let frozen = match direction {
         Direction::ToTarget => &shared.frozen_to_target,
         Direction::FromTarget => &shared.frozen_from_target,
--- a/crates/mustardtiller-standin/tests/silent_links.rs
+++ b/crates/mustardtiller-standin/tests/silent_links.rs
@@ -146,3 +146,32 @@
         assert_eq!(outcome.0, "answered", "order {number}: {outcome:?}");
     }
 }
+
+#[test]
+fn a_lost_packet_gives_up_no_order() {
+    /// Time after which a lost packet is sent again.
+    const RETRANSMISSION: Duration = Duration::from_millis(250);
+    let fleet = Fleet::start_piped();
+    for upstream in &fleet.upstreams {
+        upstream.plan().set_service_micros(150_000);
+    }
+    for number in 0..5 {
+        let order = order(&format!("p{number}"), None);
+        let answer = std::thread::scope(|scope| {
+            let call = scope.spawn(|| fleet.call(0, &order));
+            wait_for("the order to be at a gate", || {
+                (0..3).any(|index| fleet.metric(index, "gate_in_flight") >= 1.0)
+            });
+            for pipe in &fleet.pipes {
+                pipe.stall_open();
+            }
+            std::thread::sleep(RETRANSMISSION);
+            for pipe in &fleet.pipes {
+                pipe.release_stalled();
+            }
+            call.join().expect("the call ends")
+        });
+        let outcome = (answer.outcome(), answer.reason());
+        assert_eq!(outcome.0, "answered", "order {number}: {outcome:?}");
+    }
+}
--- a/crates/mustardtiller/src/link/connector.rs
+++ b/crates/mustardtiller/src/link/connector.rs
@@ -6,6 +6,7 @@
 use smol::net::TcpStream;
 
 use super::client::LinkHandle;
+use super::guard::drain_replaced;
 use super::guard::replace_silent;
 use super::handshake;
 use super::handshake::HandshakeError;
@@ -150,35 +151,48 @@
     }
 }
 
-/// Read a link until it ends.
+/// Wait until a link ends, or another one takes its place because it may be silent.
 ///
-/// Returns the link that has taken its place if it has gone silent.
-async fn run_link(node: &Node, candidate: &Candidate, running: RunningLink) -> Option<RunningLink> {
+/// Returns the link that has taken its place.
+async fn run_link(
+    node: &Arc<Node>,
+    candidate: &Arc<Candidate>,
+    running: RunningLink,
+) -> Option<RunningLink> {
+    let link = Arc::clone(&running.link);
+    let reading = read_link(Arc::clone(node), Arc::clone(candidate), running);
+    let mut reading = node.spawn_task(reading);
+    let ended = async {
+        (&mut reading).await;
+        None
+    };
+    let replacing = async { Some(replace_silent(node, candidate, &link).await) };
+    let Some(second) = future::or(ended, replacing).await else {
+        candidate.link_slot.set(None);
+        return None;
+    };
+    let second = start_link(node, candidate, second);
+    node.spawn(drain_replaced(
+        Arc::clone(node),
+        Arc::clone(candidate),
+        link,
+        reading,
+    ));
+    Some(second)
+}
+
+/// Read a link until it ends.
+async fn read_link(node: Arc<Node>, candidate: Arc<Candidate>, running: RunningLink) {
     let name = &candidate.upstream.name;
     let RunningLink {
         link,
         table,
         mut reader,
     } = running;
-    let reading = async {
-        let signals = &candidate.signals;
-        let read = table.run(&link, &mut reader, signals, node.clock, &node.metrics);
-        Ok(read.await)
-    };
-    // The second link takes its place before the requests on the first learn of its loss.
-    let replacing = async {
-        let second = replace_silent(node, candidate, &link).await;
-        Err(start_link(node, candidate, second))
-    };
-    let end = match future::or(reading, replacing).await {
-        Ok(end) => end,
-        Err(second) => {
-            link.close_silent();
-            node.metrics.count(CounterId::LinksLost);
-            return Some(second);
-        }
-    };
-    candidate.link_slot.set(None);
+    let signals = &candidate.signals;
+    let end = table
+        .run(&link, &mut reader, signals, node.clock, &node.metrics)
+        .await;
     link.close();
     node.metrics.count(CounterId::LinksLost);
     match end {
@@ -193,5 +207,4 @@
             Event::FrameMalformed.log(format_args!("{name}: {violation}"));
         }
     }
-    None
 }
--- a/crates/mustardtiller/src/link/guard.rs
+++ b/crates/mustardtiller/src/link/guard.rs
@@ -1,5 +1,8 @@
-//! Proves that a link has gone silent, by a second link to the same gate.
+//! Replaces a link that seems silent, and gives it up once it has stayed so.
 
+use std::sync::Arc;
+
+use smol::Task;
 use smol::future;
 
 use super::client::LinkHandle;
@@ -11,6 +14,9 @@
 use crate::events::Event;
 use crate::metrics::CounterId;
 use mustardtiller_core::Deadline;
+use mustardtiller_core::SilenceEffect;
+use mustardtiller_core::SilenceRule;
+use mustardtiller_core::SilenceWatch;
 use mustardtiller_core::Suspicion;
 use mustardtiller_core::SuspicionEffect;
 use mustardtiller_core::SuspicionRule;
@@ -18,17 +24,29 @@
 /// Time in which the reply to a ping may still come once the second link is up, in milliseconds.
 const LAST_LOOK_MS: u64 = 15;
 
+/// Time between two looks at a link that has been replaced, in milliseconds.
+const REPLACED_ROUND_MS: u64 = 200;
+
+/// When a link that has been replaced is given up.
+///
+/// A lost packet is sent again after 200 ms, and once more 400 ms later.
+const REPLACED_RULE: SilenceRule = SilenceRule {
+    ping_after: 1,
+    close_after: 3,
+    idle_ping_every: u32::MAX,
+};
+
 /// Timeout of the gate's statement of what it has read, in milliseconds.
-const DISOWN_TIMEOUT_MS: u64 = 100;
+const DISOWN_TIMEOUT_MS: u64 = 300;
 
 /// Pause after a second link was not needed or could not be made, in milliseconds.
 const PAUSE_MS: u64 = 100;
 
-/// Watch a link in use, and return a second one once the first has proved silent.
+/// Watch a link in use, and return a second one once the first seems silent.
 ///
-/// The proof is a gate that answers on a new connection while it sends nothing on the
-/// old one. It then states which requests it had read from the old one, of which it
-/// reads no more; the others have not run.
+/// It seems so if the gate answers on a new connection while it sends nothing on the
+/// old one. A lost packet looks the same until it is sent again, so the requests on the
+/// old one are not given up here; see [`drain_replaced`].
 pub(super) async fn replace_silent(
     node: &Node,
     candidate: &Candidate,
@@ -40,8 +58,6 @@
             continue;
         }
         if let Some(second) = connect_second(node, candidate, link).await {
-            node.metrics.count(CounterId::LinksSilent);
-            Event::LinkSilent.log(&candidate.upstream.name);
             node.link_silent.notify(usize::MAX);
             return second;
         }
@@ -110,17 +126,57 @@
         frame_received.await;
         None
     };
-    let mut second = future::or(first_works, connecting).await?;
+    let second = future::or(first_works, connecting).await?;
     node.clock.sleep_millis(LAST_LOOK_MS).await;
     if link.frames() != frames || second.gate_incarnation() != link.gate_incarnation() {
         return None;
     }
+    Some(second)
+}
+
+/// Wait until the requests on a replaced link have ended, and close it.
+///
+/// If it stays silent, the gate is asked which requests it had read from it. It reads
+/// no more of them, so the others have not run and are sent again.
+pub(super) async fn drain_replaced(
+    node: Arc<Node>,
+    candidate: Arc<Candidate>,
+    link: Arc<LinkHandle>,
+    reading: Task<()>,
+) {
+    let mut watch = SilenceWatch::default();
+    loop {
+        let open = link.open_streams();
+        if open == 0 {
+            link.close();
+            break;
+        }
+        match watch.step(&REPLACED_RULE, open, link.frames(), false) {
+            SilenceEffect::Nothing => {}
+            SilenceEffect::Ping => link.ping(node.clock.now()),
+            SilenceEffect::Close => {
+                give_up(&node, &candidate, &link).await;
+                break;
+            }
+        }
+        node.clock.sleep_millis(REPLACED_ROUND_MS).await;
+    }
+    reading.await;
+}
+
+/// Close a link that has stayed silent, once the gate has stated what it had read of it.
+async fn give_up(node: &Node, candidate: &Candidate, link: &LinkHandle) {
+    node.metrics.count(CounterId::LinksSilent);
+    Event::LinkSilent.log(&candidate.upstream.name);
     let deadline = Deadline::in_millis(node.clock.now(), DISOWN_TIMEOUT_MS);
-    let disowning = handshake::disown(&mut second.reader, &second.socket, link.id());
+    let disowning = async {
+        let mut other = connect(node, candidate).await.ok()?;
+        handshake::disown(&mut other.reader, &other.socket, link.id()).await
+    };
     let read = node.clock.within(deadline, disowning).await.flatten();
-    // A first link that has ended meanwhile, or an older gate, leaves the outcomes unknown.
+    // A link that has ended meanwhile, or an older gate, leaves the outcomes unknown.
     if let Some(read) = read {
         link.note_read(read);
     }
-    Some(second)
+    link.close_silent();
 }
