fix(memory): a body that doesn't come with its head is charged its buffer

Cause: a trial with 2,040 connections, the most that an entry accepts, peaked at 216 MB with bodies in pieces: each connection's read buffer in the HTTP library was not in the account.

Change: the buffer is charged once a body needs more than its first read, until the body is complete.

--- a/crates/mustardtiller/src/front/read_body.rs
+++ b/crates/mustardtiller/src/front/read_body.rs
@@ -124,8 +124,9 @@
     let account = Arc::clone(&watch.node().board.held);
     let guard = HeldGuard::new(account, Holder::Requests);
     let mut held = HeldBuffer::new(guard, length.map(|length| length as usize));
+    let mut connection_buffer = ConnectionBuffer::new(watch.node());
     while let Some(chunk) = next_chunk(&mut body, &watch).await? {
-        if !held.try_push(&chunk) {
+        if !held.try_push(&chunk) || !(body.is_end_stream() || connection_buffer.try_charge()) {
             return Err(MEMORY_FULL);
         }
         if held.len() as u64 > rule.max_bytes {
@@ -143,6 +144,28 @@
     Ok(CallBody::Buffered(held.freeze()))
 }
 
+/// The HTTP library's buffer, which a body grows that doesn't come with its head.
+struct ConnectionBuffer {
+    guard: HeldGuard,
+    bytes: u64,
+}
+
+impl ConnectionBuffer {
+    fn new(node: &Node) -> Self {
+        let account = Arc::clone(&node.board.held);
+        Self {
+            guard: HeldGuard::new(account, Holder::Requests),
+            bytes: node.settings.head_bytes,
+        }
+    }
+
+    /// Charge the buffer once; returns false if there is no room for it.
+    fn try_charge(&mut self) -> bool {
+        let bytes = std::mem::take(&mut self.bytes);
+        bytes == 0 || self.guard.try_grow(bytes)
+    }
+}
+
 /// Wait for the next chunk of a body; `None` once it is complete.
 async fn next_chunk(body: &mut Incoming, watch: &BodyWatch) -> Result<Option<Bytes>, RequestError> {
     let node = watch.node();
