--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -17,6 +17,7 @@
 use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
 use crate::entry::trace::Trace;
+use crate::metrics::CounterId;
 use mustardtiller_core::Attempt;
 use mustardtiller_core::Availability;
 use mustardtiller_core::Instant;
@@ -121,6 +122,9 @@
             offers.skip_immediate();
             continue;
         };
+        if candidate.in_other_region {
+            cx.node.metrics.count(CounterId::OffersElsewhere);
+        }
         let offer = trace.record_offer(cx, &candidate);
         let refusal = match hedged(cx, &service, &candidate, call).await {
             Ok(answer) => return Ok(answer),
@@ -183,10 +187,11 @@
         candidates.filter(|candidate| candidate.sample(now).availability == Availability::Live)
     };
     let place_at = live().map(|candidate| place_at(candidate, now)).min();
-    let latency = live().map(|candidate| candidate.signals.latency_micros());
+    let latencies = live().map(|candidate| u64::from(candidate.signals.latency_micros()));
+    let mean_micros = latencies.sum::<u64>().checked_div(live().count() as u64);
     let refused = RefusedCall {
         now,
-        service_micros: u64::from(latency.max().unwrap_or_default()),
+        service_micros: mean_micros.unwrap_or_default(),
         target: cx.target,
         deadline: cx.deadline,
     };
