fix(gate): a claimed call depth gives no rank

Cause: with discovery the gate ranked a request as nested by the header of call depth, also where upstreams don't get that header to hand on. There only a caller can have set it, and goes before all others by it. Change: the depth counts only where the dialect forwards it; the rank is decided in the core. Kinds learned as nested keep their rank.

--- a/crates/mustardtiller-core/src/admit/wait_rank.rs
+++ b/crates/mustardtiller-core/src/admit/wait_rank.rs
@@ -20,6 +20,20 @@
     /// Number of classes of ranks.
     pub const CLASSES: usize = MAX_PRIORITY as usize + 2;
 
+    /// Return the rank of a request whose kind has this priority.
+    ///
+    /// `passed_depth` is the depth of the call that upstreams hand on, or `None` where they
+    /// get none to hand on: there a stated depth can only be a caller's claim to go first.
+    /// `is_nested_kind` is whether the kind is known to be made by runs.
+    #[must_use]
+    pub const fn of(passed_depth: Option<u8>, is_nested_kind: bool, priority: u8) -> Self {
+        match passed_depth {
+            Some(1..) => Self::Nested,
+            _ if is_nested_kind => Self::Nested,
+            Some(0) | None => Self::Root(priority),
+        }
+    }
+
     /// Return the index of the rank's class, below [`Self::CLASSES`].
     #[must_use]
     pub fn class(self) -> usize {
--- a/crates/mustardtiller-core/tests/rank_pressure.rs
+++ b/crates/mustardtiller-core/tests/rank_pressure.rs
@@ -160,3 +160,12 @@
     assert_eq!(queue.ahead_of(WaitRank::Root(2), start_by), 4);
     assert_eq!(queue.ahead_of(WaitRank::Root(3), start_by), 4);
 }
+
+/// Where upstreams don't hand on the depth of calls, any caller could claim one.
+#[test]
+fn claimed_depth_gives_no_rank() {
+    assert_eq!(WaitRank::of(None, false, 3), WaitRank::Root(3));
+    assert_eq!(WaitRank::of(None, true, 3), WaitRank::Nested);
+    assert_eq!(WaitRank::of(Some(0), false, 3), WaitRank::Root(3));
+    assert_eq!(WaitRank::of(Some(1), false, 3), WaitRank::Nested);
+}
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -157,9 +157,9 @@
 ///
 /// Without discovery, priorities are not compared: callers' shares decide there.
 fn rank_of(node: &Node, req: &GateRequest) -> WaitRank {
+    let passed_depth = node.dialect.forwards_depth.then_some(req.depth);
     match node.settings.discovery {
-        Some(_) if req.depth > 0 || is_nested(node, req) => WaitRank::Nested,
-        Some(_) => WaitRank::Root(req.priority),
+        Some(_) => WaitRank::of(passed_depth, is_nested(node, req), req.priority),
         None => WaitRank::Root(0),
     }
 }
