fix(gate): only the upstream's own answers count as run or shed

Cause: after the permit, every refusal that wasn't a shed counted as a run (upstream down, no start allowed, deadline passed before the send), and a refusal by another upstream at the address counted as a shed of this one. Change: what the upstream did is recorded where its answer is checked: a genuine answer as run, its refusal as shed, all else as nothing.

--- a/crates/mustardtiller/src/gate/run.rs
+++ b/crates/mustardtiller/src/gate/run.rs
@@ -113,9 +113,6 @@
         Ok(permit) => exchange(node, unsent, req, permit).await,
         Err(reason) => GateAnswer::refused(unsent.refuse(reason)),
     };
-    if sent && node.settings.discovery.is_some() {
-        note_shed(node, &answer);
-    }
     // If the request may not wait, its entry offers it to another gate at once and
     // logs the refusal itself.
     let logged_here = sent || queue_mode == QueueMode::Queue;
@@ -137,21 +134,6 @@
     node.settings.discovery.is_some() && node.board.configuration.read().is_none()
 }
 
-/// Record whether the upstream shed a request, and tell entries if it is to be avoided.
-fn note_shed(node: &Node, answer: &GateAnswer) {
-    let shed = match answer {
-        GateAnswer::Refused(Verdict::NotRun(reason)) => *reason == NotRunReason::UpstreamShed,
-        GateAnswer::Refused(Verdict::Unknown(_)) => return,
-        GateAnswer::Buffered { .. } | GateAnswer::Streamed { .. } => false,
-    };
-    let gate = &node.board.gate;
-    if let Some(share_milli) = gate.shedding.record(shed, node.clock.now()) {
-        node.metrics.count(CounterId::ShedPauses);
-        Event::UpstreamSheds.log(format_args!("{share_milli} of 1000"));
-        gate.slowdown.slow_changed.notify(usize::MAX);
-    }
-}
-
 fn log_refusal(
     node: &Node,
     id: &[u8],
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -33,12 +33,14 @@
 use crate::board::Holder;
 use crate::body::HeldBuffer;
 use crate::daemon::Node;
+use crate::events::Event;
 use crate::gate::GateAnswer;
 use crate::gate::GateRequest;
 use crate::gate::Permit;
 use crate::http::DeadlineForm;
 use crate::http::Dialect;
 use crate::http::Proof;
+use crate::metrics::CounterId;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
@@ -129,6 +131,7 @@
             node.note_announced_leaving("an answer announces it");
         }
     }
+    note_shed(node, check);
     let verdict = match check {
         AnswerCheck::Genuine => None,
         AnswerCheck::Refused => Some(Verdict::NotRun(NotRunReason::UpstreamShed)),
@@ -164,6 +167,27 @@
     }
 }
 
+/// Record whether the upstream ran or shed a request, and tell entries if it is to be
+/// avoided.
+///
+/// An answer of another upstream, or of an unknown one, says nothing about this one.
+fn note_shed(node: &Node, check: AnswerCheck) {
+    let shed = match check {
+        AnswerCheck::Genuine => false,
+        AnswerCheck::Refused => true,
+        AnswerCheck::Misdirected | AnswerCheck::Unverified => return,
+    };
+    if node.settings.discovery.is_none() {
+        return;
+    }
+    let gate = &node.board.gate;
+    if let Some(share_milli) = gate.shedding.record(shed, node.clock.now()) {
+        node.metrics.count(CounterId::ShedPauses);
+        Event::UpstreamSheds.log(format_args!("{share_milli} of 1000"));
+        gate.slowdown.slow_changed.notify(usize::MAX);
+    }
+}
+
 /// Connection and response; `None` if the deadline passed before the response came.
 ///
 /// The inner error means that the exchange on the connection failed.
