fix(gate): compare kinds only with those that callers are known to make

Cause: a kind was taken for nested by comparison with all other kinds, also if those were nested themselves, and if no host was ever idle, so that nothing told callers' kinds apart. Counts of a source never fell to zero, and outlived the upstream. All kinds' counts are halved together and reach zero; a new lifetime of the upstream clears them. The halving and the clearing of the atomics have no test.

--- a/crates/mustardtiller-core/src/admit/call_sources.rs
+++ b/crates/mustardtiller-core/src/admit/call_sources.rs
@@ -7,8 +7,6 @@
 pub const SOURCE_SLOTS: usize = 16;
 
 /// Requests of a kind due from services that sent none, from which their silence counts.
-///
-/// If they sent the kind like the others, none of seven would come once in a thousand.
 const MIN_MISSED: u64 = 7;
 
 /// Least share of a kind's requests that idle hosts send if callers make them, as a divisor.
@@ -33,7 +31,8 @@
         self.by_source.iter().copied().map(u64::from).sum()
     }
 
-    /// Report whether the counts should be halved, so that older requests count less.
+    /// Report whether the counts of all kinds should be halved, so that older requests
+    /// count less.
     #[must_use]
     pub fn is_full(&self) -> bool {
         self.total() >= u64::from(MAX_REQUESTS)
@@ -63,31 +62,36 @@
 /// Answers the load at which a called service is full: without the work of these calls,
 /// that of their callers is lost. Callers' requests begin on hosts of all services, calls
 /// of runs only on hosts of the services whose runs make them, and never on a host whose
-/// upstream runs nothing. A kind is in the set only if services that send the other kinds
-/// have sent none of it though some were due; until then, nothing is known.
+/// upstream runs nothing. So a kind of which idle hosts send a share is made by callers,
+/// and only such kinds say how callers' requests are spread over services. Another kind is
+/// in the set if services that send those have sent none of it though some were due;
+/// until then, nothing is known.
 #[must_use]
 pub fn nested_kinds(kinds: &[KindSources; KIND_SLOTS]) -> NestedKinds {
-    let mut all = [0_u64; SOURCE_SLOTS];
-    for kind in kinds {
-        for (sum, &count) in all.iter_mut().zip(&kind.by_source) {
+    let mut roots = [0_u64; SOURCE_SLOTS];
+    for kind in kinds.iter().filter(|kind| is_root(kind)) {
+        for (sum, &count) in roots.iter_mut().zip(&kind.by_source) {
             *sum += u64::from(count);
         }
     }
     let mut nested = 0;
     for (slot, kind) in kinds.iter().enumerate() {
-        nested |= u64::from(is_nested(kind, &all)) << slot;
+        nested |= u64::from(is_nested(kind, &roots)) << slot;
     }
     NestedKinds(nested)
 }
 
-fn is_nested(kind: &KindSources, all: &[u64; SOURCE_SLOTS]) -> bool {
-    let total = kind.total();
-    let others = all.iter().sum::<u64>() - total;
-    let silent = all.iter().zip(&kind.by_source);
+/// Report whether idle hosts send enough of a kind to prove that callers make it.
+fn is_root(kind: &KindSources) -> bool {
+    u64::from(kind.from_idle_hosts) * IDLE_DIVISOR > kind.total()
+}
+
+fn is_nested(kind: &KindSources, roots: &[u64; SOURCE_SLOTS]) -> bool {
+    let silent = roots.iter().zip(&kind.by_source);
     let missing: u64 = silent
         .filter(|&(_, &own)| own == 0)
         .map(|(&sum, _)| sum)
         .sum();
-    let missed = (total * missing).checked_div(others).unwrap_or_default();
-    missed >= MIN_MISSED && u64::from(kind.from_idle_hosts) * IDLE_DIVISOR <= total
+    let due = (kind.total() * missing).checked_div(roots.iter().sum());
+    !is_root(kind) && due.is_some_and(|due| due >= MIN_MISSED)
 }
--- a/crates/mustardtiller-core/tests/nested_calls.rs
+++ b/crates/mustardtiller-core/tests/nested_calls.rs
@@ -12,6 +12,7 @@
 /// Kinds by their digests.
 const PLACE: u32 = 3;
 const STATUS: u32 = 7;
+const AUDIT: u32 = 9;
 
 /// A kind, its requests by source, and those from idle hosts.
 type Row<'a> = (u32, &'a [(usize, u32)], u32);
@@ -59,3 +60,33 @@
     ]);
     assert_eq!(nested_kinds(&counts).0, 0);
 }
+
+/// Two kinds that runs of different services make say nothing of each other.
+#[test]
+fn nothing_is_known_if_all_kinds_may_be_nested() {
+    let counts = kinds(&[
+        (STATUS, &[(CATALOGUE, 60)], 0),
+        (AUDIT, &[(ORDERS, 60), (ARCHIVE, 60)], 0),
+    ]);
+    assert_eq!(nested_kinds(&counts).0, 0);
+}
+
+/// At full load no host is idle, so no kind is proved to be made by callers.
+#[test]
+fn nothing_is_known_if_no_host_is_idle() {
+    let counts = kinds(&[(PLACE, PLACED, 0), (STATUS, &[(CATALOGUE, 60)], 0)]);
+    assert_eq!(nested_kinds(&counts).0, 0);
+}
+
+/// A kind of unknown origin adds nothing to what callers' requests show.
+#[test]
+fn only_proved_kinds_are_compared() {
+    let counts = kinds(&[
+        (PLACE, &[(CATALOGUE, 60)], 4),
+        (STATUS, &[(CATALOGUE, 60)], 0),
+        (AUDIT, &[(ORDERS, 60)], 0),
+    ]);
+    let nested = nested_kinds(&counts);
+    assert!(!nested.contains(STATUS));
+    assert!(nested.contains(AUDIT));
+}
--- a/crates/mustardtiller/src/board/call_sources.rs
+++ b/crates/mustardtiller/src/board/call_sources.rs
@@ -57,15 +57,19 @@
         NestedKinds(self.nested.load(Ordering::Relaxed))
     }
 
+    /// Forget all counts, since another upstream runs here now.
+    pub fn reset(&self) {
+        self.kinds.iter().for_each(KindCounts::clear);
+        self.nested.store(0, Ordering::Relaxed);
+    }
+
     /// Evaluate the counts. For the limiter controller.
     ///
     /// Returns the kinds made by runs, if they have changed.
     pub fn evaluate(&self) -> Option<NestedKinds> {
-        let kinds = std::array::from_fn(|slot| self.kinds[slot].read());
-        for (counts, read) in self.kinds.iter().zip(&kinds) {
-            if read.is_full() {
-                counts.halve();
-            }
+        let kinds: [KindSources; KIND_SLOTS] = std::array::from_fn(|slot| self.kinds[slot].read());
+        if kinds.iter().any(KindSources::is_full) {
+            self.kinds.iter().for_each(KindCounts::halve);
         }
         let nested = nested_kinds(&kinds);
         let before = self.nested.swap(nested.0, Ordering::Relaxed);
@@ -87,12 +91,23 @@
         }
     }
 
-    /// Halve the counts; a count that is not zero stays so.
+    /// Halve the counts, rounded down, so that the last request is forgotten too.
     fn halve(&self) {
-        for count in self.by_source.iter().chain([&self.from_idle_hosts]) {
-            count.fetch_sub(count.load(Ordering::Relaxed) / 2, Ordering::Relaxed);
+        for count in self.all() {
+            // Requests that are counted meanwhile are kept.
+            let old = count.load(Ordering::Relaxed);
+            count.fetch_sub(old.div_ceil(2), Ordering::Relaxed);
         }
     }
+
+    fn clear(&self) {
+        self.all()
+            .for_each(|count| count.store(0, Ordering::Relaxed));
+    }
+
+    fn all(&self) -> impl Iterator<Item = &AtomicU32> {
+        self.by_source.iter().chain([&self.from_idle_hosts])
+    }
 }
 
 fn source_slot(source: &str) -> usize {
--- a/crates/mustardtiller/src/board/gate/starts.rs
+++ b/crates/mustardtiller/src/board/gate/starts.rs
@@ -36,6 +36,7 @@
         self.heard_rate.store(false, Ordering::SeqCst);
         self.cold.begin_lifetime(now);
         self.shedding.reset();
+        self.sources.reset();
     }
 
     /// Replace what operators state about a cold start.
