fix(entry): only live upstreams of the own region count as room

Cause: upstreams that are leaving, ejected, without a link, shedding or in another region counted as room for immediate offers, and the dead ones in the total by which shedding upstreams are few enough to be avoided. Change: one filter for live upstreams at home, used for room, for the total and for the free upstreams at home; the last don't include shedding ones. The filter itself has no test of its own.

--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -17,12 +17,12 @@
 use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
 use crate::entry::room::avoided;
+use crate::entry::room::free_at_home;
 use crate::entry::room::return_window;
 use crate::entry::room::rule_for_load;
 use crate::entry::trace::Trace;
 use crate::metrics::CounterId;
 use mustardtiller_core::Attempt;
-use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::OfferRule;
 use mustardtiller_core::OfferScope;
@@ -214,13 +214,6 @@
     retry_reason(refusal, context).filter(|_| unbudgeted || service.retries.try_spend())
 }
 
-/// Count the upstreams of the own region that may have a free slot, by their last reports.
-fn free_at_home(service: &ServiceRoutes, excluded: &[UpstreamName], now: Instant) -> u32 {
-    let home = service.candidates.iter().filter(|c| !c.in_other_region);
-    let open = home.filter(|c| !excluded.contains(&c.upstream.name));
-    open.filter(|c| c.signals.slot_at() <= now).count() as u32
-}
-
 async fn next_candidate(
     cx: AttemptCx<'_>,
     service: &ServiceRoutes,
--- a/crates/mustardtiller/src/entry/room.rs
+++ b/crates/mustardtiller/src/entry/room.rs
@@ -1,5 +1,7 @@
 //! What gates have reported of their room, as it bears on a call.
 
+use std::sync::Arc;
+
 use smallvec::SmallVec;
 
 use crate::board::Candidate;
@@ -15,32 +17,52 @@
 
 /// Return the upstreams that shed with slots free, if they are few among the service's.
 pub fn avoided(service: &ServiceRoutes, now: Instant) -> SmallVec<[UpstreamName; 4]> {
-    let shedding = || {
-        let candidates = service.candidates.iter();
-        candidates.filter(|candidate| candidate.signals.is_shedding(now))
-    };
-    if !may_avoid(
-        &service.ejection(),
-        service.candidates.len(),
-        shedding().count(),
-    ) {
+    let (mut live, mut shedding) = (0, 0);
+    for candidate in live_at_home(service, now) {
+        live += 1;
+        shedding += usize::from(candidate.signals.is_shedding(now));
+    }
+    if !may_avoid(&service.ejection(), live, shedding) {
         return SmallVec::new();
     }
-    shedding()
+    let candidates = service.candidates.iter();
+    candidates
+        .filter(|candidate| candidate.signals.is_shedding(now))
         .map(|candidate| candidate.upstream.name.clone())
         .collect()
 }
 
+/// Return the upstreams of the own region that take requests.
+fn live_at_home(service: &ServiceRoutes, now: Instant) -> impl Iterator<Item = &Candidate> {
+    live(service, now).filter(|candidate| !candidate.in_other_region)
+}
+
+/// Return the upstreams of all regions that take requests.
+fn live(service: &ServiceRoutes, now: Instant) -> impl Iterator<Item = &Candidate> {
+    let candidates = service.candidates.iter().map(Arc::as_ref);
+    candidates.filter(move |candidate| candidate.sample(now).availability == Availability::Live)
+}
+
+/// Count the upstreams of the own region that may have a free slot, by their last reports.
+pub fn free_at_home(service: &ServiceRoutes, excluded: &[UpstreamName], now: Instant) -> u32 {
+    live_at_home(service, now)
+        .filter(|candidate| !candidate.signals.is_shedding(now))
+        .filter(|candidate| candidate.signals.slot_at() <= now)
+        .filter(|candidate| !excluded.contains(&candidate.upstream.name))
+        .count() as u32
+}
+
 /// Return when the caller of a refused call should come back.
 pub fn return_window(cx: AttemptCx<'_>, service: &ServiceRoutes) -> ReturnWindow {
     let now = cx.node.clock.now();
-    let live = || {
-        let candidates = service.candidates.iter();
-        candidates.filter(|candidate| candidate.sample(now).availability == Availability::Live)
-    };
-    let place_at = live().map(|candidate| place_at(candidate, now)).min();
-    let latencies = live().map(|candidate| u64::from(candidate.signals.latency_micros()));
-    let mean_micros = latencies.sum::<u64>().checked_div(live().count() as u64);
+    let place_at = live(service, now)
+        .map(|candidate| place_at(candidate, now))
+        .min();
+    let latencies =
+        live(service, now).map(|candidate| u64::from(candidate.signals.latency_micros()));
+    let mean_micros = latencies
+        .sum::<u64>()
+        .checked_div(live(service, now).count() as u64);
     let refused = RefusedCall {
         now,
         service_micros: mean_micros.unwrap_or_default(),
@@ -64,13 +86,12 @@
     }
     let now = cx.node.clock.now();
     let kind_digest = cx.kind.digest();
-    let (mut free, mut nested) = (0, false);
-    for candidate in &service.candidates {
-        let signals = &candidate.signals;
-        free += u32::from(signals.slot_at() <= now);
-        nested |= signals.nested_kinds().contains(kind_digest);
-    }
+    let mut candidates = service.candidates.iter();
+    let nested = candidates.any(|c| c.signals.nested_kinds().contains(kind_digest));
     // A nested call is short, and is best run where the upstream isn't slow, which only
     // an offer for an immediate start finds out.
-    if nested { rule } else { rule.with_room(free) }
+    if nested {
+        return rule;
+    }
+    rule.with_room(free_at_home(service, &[], now))
 }
