fix(entry): no immediate offer to an upstream that sheds

Cause: if all other upstreams had refused, an immediate offer fell back to those avoided for shedding, and took a request that they refuse. Change: only a queued offer falls back to them. Measured: built and checked by itself; no test replays the fallback.

--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -249,7 +249,10 @@
     let draw_in = |scope| {
         let mut all = excluded.clone();
         all.extend(avoided.iter().cloned());
-        draw_without(&all, scope).or_else(|| draw_without(&excluded, scope))
+        draw_without(&all, scope).or_else(|| match cx.queue_mode {
+            QueueMode::Queue => draw_without(&excluded, scope),
+            QueueMode::None => None,
+        })
     };
     let draw = || {
         let regions = service.candidates.iter().any(|c| c.in_other_region);
