fix(entry): refused callers don't all come back at once

Cause: a call whose place was too far away for it to be in time, or that had little time left, was told one instant for all; a shedding upstream counted as a place. Change: late callers are spread over a sixth of their time from now, and the window is one instant only once the time is up. Shedding upstreams are no place. Retry-After without discovery has no test of its own.

--- a/crates/mustardtiller-core/src/route/mod.rs
+++ b/crates/mustardtiller-core/src/route/mod.rs
@@ -22,6 +22,7 @@
 pub use offer::OfferRule;
 pub use offer::Offers;
 pub use return_time::RefusedCall;
+pub use return_time::ReturnTime;
 pub use return_time::ReturnWindow;
 pub use sample::Availability;
 pub use sample::Sample;
--- a/crates/mustardtiller-core/src/route/return_time.rs
+++ b/crates/mustardtiller-core/src/route/return_time.rs
@@ -15,7 +15,7 @@
 /// Part of the time to the deadline over which callers that will be late come back.
 const LATE_SPREAD_DIVISOR: u64 = 6;
 
-/// Part of the time to the deadline beyond which no caller is spread.
+/// Part of the time to the deadline beyond which no late caller is spread.
 const LONGEST_WAIT_DIVISOR: u64 = 3;
 
 /// What an entry knows of a call that it refuses.
@@ -47,23 +47,29 @@
     ///
     /// Answers the return of a service after an outage or a burst, when many callers were
     /// refused at once: those that can still be in time come back when a place is likely;
-    /// the others, and all if no place is known, spread over a part of their time, so that they neither use up their
-    /// retries in the outage nor come as a second wave.
+    /// the others, and all if no place is known, spread over a part of their time from
+    /// now, so that they neither use up their retries in the outage nor come as a second
+    /// wave.
     #[must_use]
     pub fn return_window(&self, place_at: Option<Instant>) -> ReturnWindow {
-        let in_time = place_at.is_some_and(|at| self.is_in_time(at));
-        let place_at = place_at.map_or(self.now, |at| at.max(self.now));
+        match place_at.filter(|&at| self.is_in_time(at)) {
+            Some(at) => near_place(at.max(self.now)),
+            None => self.spread(),
+        }
+    }
+
+    /// Return the window of a caller that can't be answered in time, as far as is known.
+    ///
+    /// It is a single instant only once the time is up.
+    fn spread(&self) -> ReturnWindow {
         let left_micros = self.deadline.instant().micros_since(self.now);
-        let latest = self.now.plus_micros(left_micros / LONGEST_WAIT_DIVISOR);
-        let from = place_at.plus_micros(MIN_WAIT_MICROS);
-        let spread = if in_time {
-            MAX_SPREAD_MICROS
-        } else {
-            (left_micros / LATE_SPREAD_DIVISOR).max(MAX_SPREAD_MICROS)
-        };
+        let sixth = left_micros / LATE_SPREAD_DIVISOR;
+        let longest = left_micros / LONGEST_WAIT_DIVISOR;
         ReturnWindow {
-            from,
-            until: place_at.plus_micros(spread).min(latest).max(from),
+            from: self.now.plus_micros(sixth.min(MIN_WAIT_MICROS)),
+            until: self
+                .now
+                .plus_micros(sixth.max(MAX_SPREAD_MICROS).min(longest)),
         }
     }
 
@@ -72,3 +78,19 @@
         !self.target.has_passed(answered)
     }
 }
+
+const fn near_place(at: Instant) -> ReturnWindow {
+    ReturnWindow {
+        from: at.plus_micros(MIN_WAIT_MICROS),
+        until: at.plus_micros(MAX_SPREAD_MICROS),
+    }
+}
+
+/// When a refused caller should come back, as far as is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReturnTime {
+    /// Not before an instant, at which an upstream takes the next request.
+    NotBefore(Instant),
+    /// Within a span of time, by what gates forecast.
+    Within(ReturnWindow),
+}
--- a/crates/mustardtiller/src/entry/call.rs
+++ b/crates/mustardtiller/src/entry/call.rs
@@ -11,7 +11,7 @@
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Refusal;
-use mustardtiller_core::ReturnWindow;
+use mustardtiller_core::ReturnTime;
 use mustardtiller_core::Token;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_wire::AnswerHead;
@@ -78,7 +78,7 @@
         /// Why, and whether the call may have run.
         refusal: Refusal,
         /// When the caller should come back, if that is known.
-        return_window: Option<ReturnWindow>,
+        return_time: Option<ReturnTime>,
     },
 }
 
--- a/crates/mustardtiller/src/entry/dispatch.rs
+++ b/crates/mustardtiller/src/entry/dispatch.rs
@@ -42,7 +42,7 @@
             node.metrics.count_refusal(refusal);
             Outcome::Refused {
                 refusal,
-                return_window: trace.return_window(),
+                return_time: trace.return_time(),
             }
         }
     }
--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -18,7 +18,7 @@
 use crate::entry::pick::pick;
 use crate::entry::room::avoided;
 use crate::entry::room::free_at_home;
-use crate::entry::room::return_window;
+use crate::entry::room::return_time;
 use crate::entry::room::rule_for_load;
 use crate::entry::trace::Trace;
 use crate::metrics::CounterId;
@@ -135,14 +135,14 @@
         }
         history.record_refusal(&candidate.upstream.name, queue_mode, refusal);
         let Some(reason) = reason_to_retry(cx, &service, call, &history, refusal) else {
-            trace.note_return(return_window(cx, &service));
+            trace.note_return(return_time(cx, &service));
             return Err(refusal.after(history.unknown));
         };
         cx.node.metrics.count_retry(reason);
         cx.retried |= reached_upstream(refusal);
         service = renew_service(cx.node, call, service);
     }
-    trace.note_return(return_window(cx, &service));
+    trace.note_return(return_time(cx, &service));
     let no_upstream = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
     Err(history
         .last_refusal
--- a/crates/mustardtiller/src/entry/room.rs
+++ b/crates/mustardtiller/src/entry/room.rs
@@ -11,6 +11,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::OfferRule;
 use mustardtiller_core::RefusedCall;
+use mustardtiller_core::ReturnTime;
 use mustardtiller_core::ReturnWindow;
 use mustardtiller_core::UpstreamName;
 use mustardtiller_core::may_avoid;
@@ -52,17 +53,37 @@
         .count() as u32
 }
 
-/// Return when the caller of a refused call should come back.
-pub fn return_window(cx: AttemptCx<'_>, service: &ServiceRoutes) -> ReturnWindow {
+/// Return when the caller of a refused call should come back, if that is known.
+///
+/// Without discovery, gates forecast nothing, and only the rates that upstreams named
+/// say when one takes the next request.
+pub fn return_time(cx: AttemptCx<'_>, service: &ServiceRoutes) -> Option<ReturnTime> {
+    match cx.node.settings.discovery {
+        Some(_) => Some(ReturnTime::Within(return_window(cx, service))),
+        None => earliest_start(service, cx.node.clock.now()).map(ReturnTime::NotBefore),
+    }
+}
+
+/// Return when the first upstream of a service takes another request.
+///
+/// Returns `None` unless all live ones have named a rate.
+fn earliest_start(service: &ServiceRoutes, now: Instant) -> Option<Instant> {
+    let starts: Option<SmallVec<[Instant; 16]>> = live(service, now)
+        .map(|candidate| candidate.signals.next_start(now))
+        .collect();
+    starts?.into_iter().min()
+}
+
+fn return_window(cx: AttemptCx<'_>, service: &ServiceRoutes) -> ReturnWindow {
     let now = cx.node.clock.now();
     let place_at = live(service, now)
+        .filter(|candidate| !candidate.signals.is_shedding(now))
         .map(|candidate| place_at(candidate, now))
         .min();
-    let latencies =
-        live(service, now).map(|candidate| u64::from(candidate.signals.latency_micros()));
-    let mean_micros = latencies
+    let latencies = || live(service, now).map(|c| u64::from(c.signals.latency_micros()));
+    let mean_micros = latencies()
         .sum::<u64>()
-        .checked_div(live(service, now).count() as u64);
+        .checked_div(latencies().count() as u64);
     let refused = RefusedCall {
         now,
         service_micros: mean_micros.unwrap_or_default(),
--- a/crates/mustardtiller/src/entry/trace.rs
+++ b/crates/mustardtiller/src/entry/trace.rs
@@ -18,7 +18,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Refusal;
-use mustardtiller_core::ReturnWindow;
+use mustardtiller_core::ReturnTime;
 use mustardtiller_core::ServiceName;
 
 /// Lowest status that counts as an upstream error.
@@ -47,7 +47,7 @@
     target: Option<Deadline>,
     deadline: Option<Deadline>,
     offers: SmallVec<[OfferTrace; 5]>,
-    return_window: Option<ReturnWindow>,
+    return_time: Option<ReturnTime>,
 }
 
 impl Trace {
@@ -66,14 +66,14 @@
     }
 
     /// Record when the caller should come back.
-    pub const fn note_return(&mut self, window: ReturnWindow) {
-        self.return_window = Some(window);
+    pub const fn note_return(&mut self, time: Option<ReturnTime>) {
+        self.return_time = time;
     }
 
     /// Return when the caller should come back, if that is known.
     #[must_use]
-    pub const fn return_window(&self) -> Option<ReturnWindow> {
-        self.return_window
+    pub const fn return_time(&self) -> Option<ReturnTime> {
+        self.return_time
     }
 
     /// Record an offer with the candidate's signals, and return its index.
--- a/crates/mustardtiller/src/front/answer.rs
+++ b/crates/mustardtiller/src/front/answer.rs
@@ -29,8 +29,8 @@
     let mut response = match outcome {
         Outcome::Refused {
             refusal,
-            return_window,
-        } => refusal_response(node, refusal, return_window),
+            return_time,
+        } => refusal_response(node, refusal, return_time),
         Outcome::Answered(answer) => answer_response(node, answer, guard),
     };
     if let Some(token) = token {
--- a/crates/mustardtiller/src/front/refusal.rs
+++ b/crates/mustardtiller/src/front/refusal.rs
@@ -1,5 +1,7 @@
 //! Conversion of refusals to HTTP responses.
 
+use std::ops::RangeInclusive;
+
 use bytes::Bytes;
 use hyper::Response;
 
@@ -8,7 +10,7 @@
 use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::Refusal;
-use mustardtiller_core::ReturnWindow;
+use mustardtiller_core::ReturnTime;
 use mustardtiller_core::UnknownReason;
 
 /// Header that says whether the request ran: `answered`, `not-run` or `unknown`.
@@ -38,11 +40,11 @@
 ///
 /// The body is JSON: `{"outcome":"not-run","reason":"queue-full"}`.
 ///
-/// `window` is when the caller should come back, if that is known.
+/// `return_time` is when the caller should come back, if that is known.
 pub fn refusal_response(
     node: &Node,
     refusal: Refusal,
-    window: Option<ReturnWindow>,
+    return_time: Option<ReturnTime>,
 ) -> Response<AnswerStream> {
     let (class, reason) = (refusal.class_text(), refusal.reason_text());
     let body = format!("{{\"outcome\":\"{class}\",\"reason\":\"{reason}\"}}\n");
@@ -54,18 +56,12 @@
         .header("content-type", "application/json");
     if may_succeed_later(refusal) {
         let now = node.clock.now();
-        let wait_ms = |at: Instant| at.micros_since(now) / 1_000;
         builder = if node.dialect.fractional_retry_after {
-            let (from_ms, until_ms) = window
-                .map_or((MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS), |window| {
-                    (wait_ms(window.from), wait_ms(window.until))
-                });
-            let millis = node.rng().u64(from_ms..=until_ms);
+            let millis = node.rng().u64(retry_span_ms(return_time, now));
             let seconds = millis as f64 / MILLIS_PER_SECOND;
             builder.header("retry-after", seconds.to_string())
         } else {
-            let wait_ms = window.map_or(0, |window| wait_ms(window.from));
-            let seconds = wait_ms.div_ceil(MILLIS_PER_SECOND as u64);
+            let seconds = earliest_retry_ms(return_time, now).div_ceil(MILLIS_PER_SECOND as u64);
             builder.header("retry-after", seconds.max(RETRY_AFTER_S))
         };
     }
@@ -74,6 +70,28 @@
         .expect("the status and headers of the response are valid")
 }
 
+/// Return the waits among which that of one caller is drawn, in milliseconds.
+fn retry_span_ms(return_time: Option<ReturnTime>, now: Instant) -> RangeInclusive<u64> {
+    if let Some(ReturnTime::Within(window)) = return_time {
+        return wait_ms(window.from, now)..=wait_ms(window.until, now);
+    }
+    let earliest_ms = earliest_retry_ms(return_time, now);
+    earliest_ms + MIN_RETRY_AFTER_MS..=earliest_ms + MAX_RETRY_AFTER_MS
+}
+
+/// Return the shortest wait that can succeed, in milliseconds; zero if nothing is known.
+fn earliest_retry_ms(return_time: Option<ReturnTime>, now: Instant) -> u64 {
+    match return_time {
+        None => 0,
+        Some(ReturnTime::NotBefore(at)) => wait_ms(at, now),
+        Some(ReturnTime::Within(window)) => wait_ms(window.from, now),
+    }
+}
+
+const fn wait_ms(at: Instant, now: Instant) -> u64 {
+    at.micros_since(now) / 1_000
+}
+
 const fn status_of(refusal: Refusal) -> u16 {
     match refusal {
         Refusal::NotRun(not_run) => not_run_status(not_run.reason()),
