fix(entry): room in other regions lets a call leave a full one

Cause: since 'only live upstreams of the own region count as room', a call to a full region got no immediate offer, by which it would have crossed. Change: offers count room at live upstreams of all regions that don't shed; the choice of a region and the total for avoiding count the own one.

--- a/crates/mustardtiller/src/entry/room.rs
+++ b/crates/mustardtiller/src/entry/room.rs
@@ -47,12 +47,16 @@
 /// Count the upstreams of the own region that may have a free slot, by their last reports.
 pub fn free_at_home(service: &ServiceRoutes, excluded: &[UpstreamName], now: Instant) -> u32 {
     live_at_home(service, now)
-        .filter(|candidate| !candidate.signals.is_shedding(now))
-        .filter(|candidate| candidate.signals.slot_at() <= now)
+        .filter(|candidate| may_be_free(candidate, now))
         .filter(|candidate| !excluded.contains(&candidate.upstream.name))
         .count() as u32
 }
 
+fn may_be_free(candidate: &Candidate, now: Instant) -> bool {
+    let signals = &candidate.signals;
+    !signals.is_shedding(now) && signals.slot_at() <= now
+}
+
 /// Return when the caller of a refused call should come back, if that is known.
 ///
 /// Without discovery, gates forecast nothing, and only the rates that upstreams named
@@ -114,5 +118,7 @@
     if nested {
         return rule;
     }
-    rule.with_room(free_at_home(service, &[], now))
+    // An immediate offer is also how a call leaves a region that is full.
+    let free = live(service, now).filter(|candidate| may_be_free(candidate, now));
+    rule.with_room(free.count() as u32)
 }
