--- a/crates/mustardtiller/src/entry/offers.rs
+++ b/crates/mustardtiller/src/entry/offers.rs
@@ -17,12 +17,12 @@
 use crate::entry::pick::Reach;
 use crate::entry::pick::pick;
 use crate::entry::room::avoided;
-use crate::entry::room::return_window;
+use crate::entry::room::free_at_home;
+use crate::entry::room::return_time;
 use crate::entry::room::rule_for_load;
 use crate::entry::trace::Trace;
 use crate::metrics::CounterId;
 use mustardtiller_core::Attempt;
-use mustardtiller_core::Instant;
 use mustardtiller_core::NotRunReason;
 use mustardtiller_core::OfferRule;
 use mustardtiller_core::OfferScope;
@@ -135,14 +135,14 @@
         }
         history.record_refusal(&candidate.upstream.name, queue_mode, refusal);
         let Some(reason) = reason_to_retry(cx, &service, call, &history, refusal) else {
-            trace.note_return(return_window(cx, &service));
+            trace.note_return(return_time(cx, &service));
             return Err(refusal.after(history.unknown));
         };
         cx.node.metrics.count_retry(reason);
         cx.retried |= reached_upstream(refusal);
         service = renew_service(cx.node, call, service);
     }
-    trace.note_return(return_window(cx, &service));
+    trace.note_return(return_time(cx, &service));
     let no_upstream = || Attempt::begin().refuse(NotRunReason::NoUpstream).into();
     Err(history
         .last_refusal
@@ -214,13 +214,6 @@
     retry_reason(refusal, context).filter(|_| unbudgeted || service.retries.try_spend())
 }
 
-/// Count the upstreams of the own region that may have a free slot, by their last reports.
-fn free_at_home(service: &ServiceRoutes, excluded: &[UpstreamName], now: Instant) -> u32 {
-    let home = service.candidates.iter().filter(|c| !c.in_other_region);
-    let open = home.filter(|c| !excluded.contains(&c.upstream.name));
-    open.filter(|c| c.signals.slot_at() <= now).count() as u32
-}
-
 async fn next_candidate(
     cx: AttemptCx<'_>,
     service: &ServiceRoutes,
@@ -256,7 +249,10 @@
     let draw_in = |scope| {
         let mut all = excluded.clone();
         all.extend(avoided.iter().cloned());
-        draw_without(&all, scope).or_else(|| draw_without(&excluded, scope))
+        draw_without(&all, scope).or_else(|| match cx.queue_mode {
+            QueueMode::Queue => draw_without(&excluded, scope),
+            QueueMode::None => None,
+        })
     };
     let draw = || {
         let regions = service.candidates.iter().any(|c| c.in_other_region);
