fix(registry): a configuration published while an input is handled

Cause: the controller listens for the configuration anew in each round, and drops the listener while it handles an input. A configuration that is published then wakes nobody, so a service that it adds has no upstream until the registry changes. Change: the controller keeps the configuration whose services it used last, and compares it with the published one after it listens and before it waits. Measured: clippy passes; there is no test of the controller's loop without a network.

--- a/crates/mustardtiller/src/controllers/registry/mod.rs
+++ b/crates/mustardtiller/src/controllers/registry/mod.rs
@@ -21,6 +21,7 @@
 use crate::published::PublishedSource;
 use crate::published::ReadExtent;
 use crate::published::Registrations;
+use mustardtiller_config::Configuration;
 use mustardtiller_core::Deadline;
 use mustardtiller_core::Instant;
 use mustardtiller_core::Rank;
@@ -77,6 +78,8 @@
     view: RegistryView,
     /// The entries of the view that are used, as published on the board.
     usable: Registry,
+    /// The configuration whose services were last used, as published on the board.
+    configuration: Arc<Option<Arc<Configuration>>>,
     /// This daemon's rank in the order of readers, by the entries used.
     rank: Rank,
     reading: bool,
@@ -115,6 +118,7 @@
         read_schedule,
         view: RegistryView::new(discovery.view),
         usable: Registry::default(),
+        configuration: node.board.configuration.share(),
         rank: Rank::default(),
         reading: false,
         read_out_of_turn: false,
@@ -150,6 +154,7 @@
             let connected = self.node.board.neighbour.listen();
             let wanted = self.node.board.hosts_wanted.listen();
             let configured = self.node.board.configuration.listen();
+            self.follow_configuration();
             let configured = async {
                 configured.await;
                 Input::Configured
@@ -191,6 +196,16 @@
         }
     }
 
+    /// Use the services of a configuration that was published while an input was handled.
+    ///
+    /// Its notice is lost, since the loop listens anew in each round.
+    fn follow_configuration(&mut self) {
+        let published = self.node.board.configuration.share();
+        if !Arc::ptr_eq(&published, &self.configuration) {
+            self.publish_usable();
+        }
+    }
+
     const fn has_registry(&self) -> bool {
         self.view.listed().is_some()
     }
@@ -333,8 +348,8 @@
     ///
     /// Without a configuration, nobody can tell which services it names.
     fn publish_usable(&mut self) {
-        let configuration = self.node.board.configuration.share();
-        let configuration = configuration.as_ref().as_ref();
+        self.configuration = self.node.board.configuration.share();
+        let configuration = self.configuration.as_ref().as_ref();
         let usable = self
             .view
             .usable(|service| configuration.is_none_or(|c| c.service(service).is_some()));
