fix(cold): no answer names more than a cold start

Cause: a health answer's time was taken as it is, so that a damaged or huge one left the upstream cold, and without a probe, for ever. Change: the time is at most the length of a cold start that operators state. Measured: cold_readings fails without the change in the new case, and passes with it (11 cases).

--- a/crates/mustardtiller/src/board/gate/cold.rs
+++ b/crates/mustardtiller/src/board/gate/cold.rs
@@ -112,6 +112,7 @@
 
     /// Record a probe's answer: for how long the upstream stays cold, if it says so.
     ///
+    /// It can't stay so for longer than a cold start takes; a longer time is shortened.
     /// One that says nothing counts as cold for the length of a cold start after its
     /// lifetime began. Returns whether it is cold if that differs from the reading before.
     pub fn finish_reading(
@@ -121,7 +122,10 @@
         now: Instant,
     ) -> Option<bool> {
         let cold_until = match cold_ms {
-            Some(ms) => now.plus_micros(ms.saturating_mul(MILLI_MICROS)),
+            Some(ms) => {
+                let ms = ms.min(self.length_ms.load(Ordering::SeqCst));
+                now.plus_micros(ms.saturating_mul(MILLI_MICROS))
+            }
             None => self.assumed_cold_until(),
         };
         let cold = cold_until > now;
@@ -145,7 +149,8 @@
         match self.lifetime_at.load(Ordering::SeqCst) {
             0 => Instant::default(),
             at => {
-                let length = self.length_ms.load(Ordering::SeqCst) * MILLI_MICROS;
+                let length = self.length_ms.load(Ordering::SeqCst);
+                let length = length.saturating_mul(MILLI_MICROS);
                 Instant::from_micros(at).plus_micros(length)
             }
         }
--- a/crates/mustardtiller/src/upstream/temperature.rs
+++ b/crates/mustardtiller/src/upstream/temperature.rs
@@ -22,7 +22,7 @@
     if cold {
         Event::UpstreamCold.log(format_args!(
             "for {} ms; it bears {} thousandths a second",
-            cold_ms.unwrap_or(rule.length_ms),
+            cold_ms.map_or(rule.length_ms, |ms| ms.min(rule.length_ms)),
             rule.rate.as_milli()
         ));
     } else {
@@ -34,6 +34,8 @@
 pub fn doubt_temperature(node: &Node) {
     if node.board.gate.cold.rule().is_some() {
         node.board.gate.cold.raise_doubt();
-        node.load_probes.request();
+        if node.load_probes.allowed(node) {
+            node.load_probes.request();
+        }
     }
 }
--- a/crates/mustardtiller/tests/cold_readings.rs
+++ b/crates/mustardtiller/tests/cold_readings.rs
@@ -77,6 +77,14 @@
     assert_eq!(gate.cold.temperature(at(1_006)), Temperature::Warm);
 }
 
+#[test]
+fn no_answer_names_more_than_a_cold_start() {
+    let gate = gate();
+    read(&gate, Some(u64::MAX), at(10));
+    assert_eq!(gate.cold.temperature(at(3_009)), Temperature::Cold);
+    assert_eq!(gate.cold.temperature(at(3_011)), Temperature::Unknown);
+}
+
 #[test]
 fn a_new_lifetime_is_cold_until_an_answer_says_otherwise() {
     let gate = gate();
