fix(gate): no probe that nothing asks for

Cause: a wish for a reading that was left from before a good one sent another load probe, and a doubt asked for a probe of an upstream that is cold or has named a rate. Change: a good reading drops the wish unless a doubt asks for another; a doubt asks only where load probes are allowed.

--- a/crates/mustardtiller/src/gate/load_probes.rs
+++ b/crates/mustardtiller/src/gate/load_probes.rs
@@ -130,6 +130,14 @@
         self.requested.notify(1);
     }
 
+    /// Drop the wish for a reading after a good one, unless a doubt asks for another.
+    fn settle(&self, node: &Node) {
+        let wanted = self.wanted.swap(false, Ordering::SeqCst);
+        if wanted && node.board.gate.cold.wants_reading(node.clock.now()) && self.allowed(node) {
+            self.request();
+        }
+    }
+
     /// Take a reading of the temperature if one is wanted.
     ///
     /// Waits for it only if the upstream may start no request now because its
@@ -217,6 +225,7 @@
             Ok(load) => {
                 let now = node.clock.now();
                 node.board.gate.slowdown.set(load.work_percent, now);
+                node.load_probes.settle(&node);
             }
             Err(cause) => {
                 node.metrics.count(CounterId::MeasurementsFailed);
