fix(gate): leaving and placement are checked before and after the waits

Cause: a request waited for a reading of the temperature before the gate refused it as leaving or evacuated; and one whose connection took long was sent although its upstream had begun to leave, or its data centre was evacuated, meanwhile. Change: one check, `start_refusal`, in admission before the reading and after it, and when a connection stands: not run for a first sending, unknown for a repeat.

--- a/crates/mustardtiller/src/daemon/node.rs
+++ b/crates/mustardtiller/src/daemon/node.rs
@@ -31,6 +31,7 @@
 use crate::upstream::UpstreamPool;
 use mustardtiller_config::Upstream;
 use mustardtiller_core::LogLineBudget;
+use mustardtiller_core::NotRunReason;
 use mustardtiller_core::ServiceName;
 use mustardtiller_core::StartRate;
 use mustardtiller_core::UpstreamName;
@@ -241,6 +242,15 @@
         self.board.gate.is_leaving() || self.board.phase.read() >= Phase::Draining
     }
 
+    /// Return why a request of this kind may not start here, if it may not.
+    #[must_use]
+    pub fn start_refusal(&self, kind_digest: u32) -> Option<NotRunReason> {
+        if self.refuses_new_work() {
+            return Some(NotRunReason::Leaving);
+        }
+        self.board.placement.refusal(kind_digest)
+    }
+
     /// Build the load report for entries.
     #[must_use]
     pub fn load_report(&self) -> LoadReport {
--- a/crates/mustardtiller/src/gate/admission.rs
+++ b/crates/mustardtiller/src/gate/admission.rs
@@ -119,6 +119,9 @@
     /// Returns the reason if the request is refused.
     pub async fn admit(&self, node: &Arc<Node>, req: &GateRequest) -> Result<Permit, NotRunReason> {
         let gate = &node.board.gate;
+        if let Some(reason) = node.start_refusal(req.kind_digest) {
+            return Err(reason);
+        }
         node.load_probes.read_temperature(node).await;
         let mut limit = check_fast_path(node, req)?;
         if limit.is_some() && node.load_probes.needs_refresh(node) {
@@ -177,10 +180,7 @@
 ///
 /// Returns the reason if the request is refused.
 fn check_fast_path(node: &Node, req: &GateRequest) -> Result<Option<u32>, NotRunReason> {
-    if node.refuses_new_work() {
-        return Err(NotRunReason::Leaving);
-    }
-    if let Some(reason) = node.board.placement.refusal(req.kind_digest) {
+    if let Some(reason) = node.start_refusal(req.kind_digest) {
         return Err(reason);
     }
     let gate = &node.board.gate;
--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -206,6 +206,7 @@
     body_cut: &Arc<AtomicBool>,
 ) -> Result<SendOutcome, Refusal> {
     let deadline = req.deadline;
+    let kind_digest = req.kind_digest;
     let Some(upstream) = node.own_upstream() else {
         return Err(unsent.refuse(NotRunReason::NoConfiguration).into());
     };
@@ -234,6 +235,10 @@
                 }
             },
         };
+        // A connection may take so long that the upstream leaves meanwhile.
+        if let Some(reason) = node.start_refusal(kind_digest) {
+            return Err(unsent.refuse(reason).into());
+        }
         if !keeps_start(node, granted_at) {
             return Err(unsent.refuse(NotRunReason::RateLimited).into());
         }
@@ -273,7 +278,7 @@
                         return Ok(SendOutcome::without_resend(sent, pooled, failed));
                     };
                     http = second;
-                    return resend(node, sent, http, upstream.address, deadline).await;
+                    return resend(node, sent, http, kind_digest, upstream.address, deadline).await;
                 }
                 (None, _) => {
                     let failed = Some((sender, Err(())));
@@ -323,11 +328,15 @@
     node: &Arc<Node>,
     sent: Sent,
     http: Request<RequestBody>,
+    kind_digest: u32,
     address: SocketAddr,
     deadline: Deadline,
 ) -> Result<SendOutcome, Refusal> {
     let granted_at = node.clock.now();
     let connected = connect(node, address, deadline).await;
+    if connected.is_ok() && node.start_refusal(kind_digest).is_some() {
+        return Err(sent.unknown(UnknownReason::AnswerCut));
+    }
     let Some(mut sender) = connected.ok().filter(|_| keeps_start(node, granted_at)) else {
         doubt_temperature(node);
         return Err(sent.unknown(UnknownReason::AnswerCut));
