fix(exchange): a repeat takes its start before its retry

Cause: where starts are limited, a repeat spent a retry of the fleet's budget and was counted, and then did not start. Change: the start is taken first.

--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -296,13 +296,17 @@
     let Some(service) = node.own_service() else {
         return false;
     };
+    // A retry that may not start would be spent for nothing.
+    if !node.board.gate.try_start(node.clock.now()) {
+        return false;
+    }
     let routes = node.board.routes.read();
     let routes = routes.services.get(&service);
     let spent = routes.is_some_and(|routes| routes.retries.try_spend());
     if spent {
         node.metrics.count_retry(RetryReason::Lost);
     }
-    spent && node.board.gate.try_start(node.clock.now())
+    spent
 }
 
 /// Note that an exchange failed in a way that a restart of the upstream explains.
