--- a/crates/mustardtiller/src/board/gate/cold.rs
+++ b/crates/mustardtiller/src/board/gate/cold.rs
@@ -24,7 +24,7 @@
 
 /// The temperature of the upstream beside this daemon.
 ///
-/// The local controller writes the rule, from the configuration, and what the
+/// The configuration controller writes the rule, the local controller what the
 /// registration says; probes write readings; failed exchanges raise doubts. Each start
 /// is counted.
 #[derive(Debug, Default)]
--- a/crates/mustardtiller/src/board/placement.rs
+++ b/crates/mustardtiller/src/board/placement.rs
@@ -8,7 +8,7 @@
 use crate::board::Snapshot;
 use mustardtiller_core::NotRunReason;
 
-/// What operators allow in this host's data centre. Written by the routes controller.
+/// What operators allow in this host's data centre. Written by the configuration controller.
 #[derive(Debug)]
 pub struct Placement {
     evacuated: AtomicBool,
--- a/crates/mustardtiller/src/controllers/configuration.rs
+++ b/crates/mustardtiller/src/controllers/configuration.rs
@@ -9,6 +9,7 @@
 use smol::future;
 use snafu::Snafu;
 
+use crate::controllers::placement::update_gate;
 use crate::daemon::Node;
 use crate::daemon::contained;
 use crate::events::Event;
@@ -312,6 +313,7 @@
         }
         match Configuration::assemble(&artefact) {
             Ok(configuration) => {
+                update_gate(&self.node, &configuration);
                 let board = &self.node.board;
                 board.artefact.publish(Arc::new(Some(Arc::new(artefact))));
                 board
--- a/crates/mustardtiller/src/controllers/local.rs
+++ b/crates/mustardtiller/src/controllers/local.rs
@@ -34,22 +34,7 @@
     let Some(discovery) = node.settings.discovery.clone() else {
         return;
     };
-    let rule = follow_cold_rule(&node, &discovery);
-    future::or(watch_upstream(&node, &discovery), rule).await;
-}
-
-/// Keep what operators state about a cold start of this service on the board.
-async fn follow_cold_rule(node: &Node, discovery: &DiscoverySettings) {
-    loop {
-        let changed = node.board.configuration.listen();
-        let configuration = node.board.configuration.share();
-        if let Some(configuration) = configuration.as_ref() {
-            let service = configuration.service(&discovery.service);
-            let rule = service.and_then(|service| service.cold);
-            node.board.gate.set_cold_rule(rule, node.clock.now());
-        }
-        changed.await;
-    }
+    watch_upstream(&node, &discovery).await;
 }
 
 /// Probe the upstream whenever it may be gone or replaced, until the daemon drains.
--- a/crates/mustardtiller/src/controllers/routes.rs
+++ b/crates/mustardtiller/src/controllers/routes.rs
@@ -14,7 +14,6 @@
 use crate::controllers::choice::choose_candidates;
 use crate::controllers::choice::derive_homes;
 use crate::controllers::placement::region_of;
-use crate::controllers::placement::update_placement;
 use crate::daemon::Node;
 use crate::events::Event;
 use crate::link::LinkSlot;
@@ -58,7 +57,6 @@
 /// Derive and publish routes and callers; without discovery also the own upstream.
 fn update(node: &Arc<Node>, configuration: &Configuration) {
     let hosts = node.board.hosts.share();
-    update_placement(node, configuration);
     let old = node.board.routes.share();
     let new = derive(node, configuration, &hosts, &old);
     let new = Arc::new(new);
