--- a/crates/mustardtiller-config/src/model/types.rs
+++ b/crates/mustardtiller-config/src/model/types.rs
@@ -100,7 +100,7 @@
     pub weight: u32,
 }
 
-/// A data centre, or zone.
+/// A data centre: hosts that fail, and are taken out of service, together.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DataCentre {
     /// Its name.
--- a/crates/mustardtiller-core/src/names/name.rs
+++ b/crates/mustardtiller-core/src/names/name.rs
@@ -61,7 +61,7 @@
     KindName
 );
 name_type!(
-    /// The name of a data centre, or zone.
+    /// The name of a data centre.
     DataCentreName
 );
 name_type!(
