fix(views): messages that waited for a sleeper cover no gap

Cause: the age of a message counts from its arrival. After the daemon slept, a message from before a gap seemed to be new, and its reads seemed to cover the gap; entries whose leases had lapsed in an outage were then dropped at once. Change: a peer's reads count only with a revision at least that of the registry held. After the controller's loop paused for more than `gap_ms`, a message shows reads only from its own read on, until this daemon has read the platform or `lapse_ms` passed, since most daemons never read while others do. `hear_of_reads` takes the revision; the existing case gives that of the registry held, so that the time alone decides there.

--- a/crates/mustardtiller-core/src/discover/view.rs
+++ b/crates/mustardtiller-core/src/discover/view.rs
@@ -45,6 +45,9 @@
 /// are no part of the registry that other daemons are told. After a cut of this daemon
 /// alone, the reads of others cover the gap, and what is missing has left.
 ///
+/// The failure that this answers too: a daemon that slept, with messages that waited
+/// for it. They seem to be as new as its waking, so they don't cover the gap.
+///
 /// Entries of a service that no configuration names are not used, so that another
 /// writer of registrations gets no say in who reads and who is told.
 #[derive(Debug)]
@@ -54,6 +57,10 @@
     /// When this daemon learnt of the newest registry.
     learnt_at: Instant,
     gap: Option<Gap>,
+    /// When the daemon's loop last ran.
+    ran_at: Option<Instant>,
+    /// When it ran again after a pause, as long as messages from the pause may come.
+    woke_at: Option<Instant>,
 }
 
 impl RegistryView {
@@ -65,6 +72,37 @@
             listed: None,
             learnt_at: Instant::from_micros(0),
             gap: None,
+            ran_at: None,
+            woke_at: None,
+        }
+    }
+
+    /// Record that the daemon's loop runs, before it handles an input.
+    ///
+    /// After a pause of more than `gap_ms`, messages cover no gap until this daemon has
+    /// read the platform itself, or `lapse_ms` have passed.
+    pub fn note_run(&mut self, now: Instant) {
+        self.woke_at
+            .take_if(|woke| now.micros_since(*woke) >= self.rule.lapse_ms * 1_000);
+        if self.ran_at.is_some_and(|ran| !self.rule.joins(ran, now)) {
+            self.woke_at = Some(now);
+        }
+        self.ran_at = Some(now);
+    }
+
+    /// Record that this daemon has read the platform, from `began` on.
+    pub fn note_own_read(&mut self, began: Instant) {
+        self.woke_at.take_if(|woke| *woke <= began);
+    }
+
+    /// Return since when a message shows reads without a gap.
+    ///
+    /// After a pause it is the time that it gives for the read alone.
+    #[must_use]
+    pub fn covered_since(&self, unbroken_since: Instant, read_at: Instant) -> Instant {
+        match self.woke_at {
+            None => unbroken_since,
+            Some(_) => read_at,
         }
     }
 
@@ -132,12 +170,19 @@
 
     /// Record that a peer's reads had no gap from `unbroken_since` to `read_at`.
     ///
+    /// A peer whose last read found a lower revision than this daemon knows tells nothing
+    /// of the time since: its message was delayed.
     /// Returns whether entries are no longer kept because of it.
-    pub fn hear_of_reads(&mut self, unbroken_since: Instant, read_at: Instant) -> bool {
+    pub fn hear_of_reads(
+        &mut self,
+        revision: u64,
+        unbroken_since: Instant,
+        read_at: Instant,
+    ) -> bool {
         let Some(listed) = &mut self.listed else {
             return false;
         };
-        if !self.rule.joins(read_at, listed.read_at) {
+        if revision < listed.revision || !self.rule.joins(read_at, listed.read_at) {
             return false;
         }
         listed.unbroken_since = listed.unbroken_since.min(unbroken_since);
--- a/crates/mustardtiller-core/tests/older_views.rs
+++ b/crates/mustardtiller-core/tests/older_views.rs
@@ -85,15 +85,87 @@
     view.accept(read(&["a", "b"], 1, 1_000), at(1_000));
     view.accept(read(&["a"], 9, 5_000), at(5_000));
     assert_eq!(used(&view), ["a", "b"], "nobody has told it");
-    let stale = view.hear_of_reads(at(200), at(1_200));
+    let stale = view.hear_of_reads(9, at(200), at(1_200));
     assert!(
         !stale,
         "a peer that was cut off too tells nothing of the gap"
     );
-    assert!(view.hear_of_reads(at(200), at(4_700)));
+    assert!(view.hear_of_reads(9, at(200), at(4_700)));
     assert_eq!(used(&view), ["a"]);
 }
 
+#[test]
+fn a_delayed_message_of_an_older_revision_covers_no_gap() {
+    let mut view = view();
+    view.accept(read(&["a", "b"], 1, 1_000), at(1_000));
+    view.accept(read(&["a"], 9, 5_000), at(5_000));
+    // Read at 1,000 and delayed until 5,000, so it seems to be from 4,900.
+    assert!(!view.hear_of_reads(1, at(200), at(4_900)));
+    assert_eq!(used(&view), ["a", "b"]);
+    assert!(view.hear_of_reads(9, at(200), at(4_900)));
+}
+
+/// Return a registry as a peer tells it that says that its reads had no gap.
+fn told(view: &RegistryView, names: &[&str], revision: u64, millis: u64) -> Registry {
+    let mut told = read(names, revision, millis);
+    told.unbroken_since = view.covered_since(at(200), at(millis));
+    told
+}
+
+/// Return the view of a daemon that ran until 1,000 and again from 6,000.
+fn woken() -> RegistryView {
+    let mut view = view();
+    view.note_run(at(1_000));
+    view.accept(read(&["a", "b"], 1, 1_000), at(1_000));
+    view.note_run(at(6_000));
+    view
+}
+
+#[test]
+fn messages_that_waited_for_a_sleeper_cover_no_gap() {
+    let mut view = woken();
+    // Sent at 1,200, before the platform was away and the lease of `b` lapsed.
+    let waited = told(&view, &["a", "b"], 2, 5_900);
+    view.accept(waited, at(6_000));
+    view.accept(read(&["a"], 3, 6_050), at(6_100));
+    assert_eq!(used(&view), ["a", "b"]);
+    let covered = view.covered_since(at(200), at(5_950));
+    assert!(!view.hear_of_reads(3, covered, at(5_950)));
+    assert!(view.expire(at(8_200)));
+    assert_eq!(used(&view), ["a"]);
+}
+
+#[test]
+fn a_sleepers_own_read_ends_its_doubt() {
+    let mut view = woken();
+    view.note_own_read(at(900));
+    assert_eq!(
+        view.covered_since(at(200), at(5_900)),
+        at(5_900),
+        "begun before"
+    );
+    view.note_own_read(at(6_050));
+    assert_eq!(view.covered_since(at(200), at(6_060)), at(200));
+}
+
+#[test]
+fn a_sleeper_that_never_reads_doubts_for_the_time_of_a_lapse() {
+    let mut view = woken();
+    view.note_run(at(8_199));
+    assert_eq!(view.covered_since(at(200), at(8_000)), at(8_000));
+    view.note_run(at(8_200));
+    assert_eq!(view.covered_since(at(200), at(8_100)), at(200));
+}
+
+#[test]
+fn a_loop_that_runs_in_time_believes_its_peers() {
+    let mut view = view();
+    for millis in [1_000, 3_500, 6_000] {
+        view.note_run(at(millis));
+    }
+    assert_eq!(view.covered_since(at(200), at(5_900)), at(200));
+}
+
 #[test]
 fn a_peers_reads_cover_the_gap() {
     let mut view = view();
--- a/crates/mustardtiller/src/controllers/registry/mod.rs
+++ b/crates/mustardtiller/src/controllers/registry/mod.rs
@@ -180,7 +180,9 @@
             };
             let gossiped = future::or(gossiped, future::or(connected, wanted));
             let gossiped = future::or(gossiped, configured);
-            match future::or(task_done, future::or(gossiped, ticked)).await {
+            let input = future::or(task_done, future::or(gossiped, ticked)).await;
+            self.view.note_run(clock.now());
+            match input {
                 Input::Tick => self.tick().await,
                 Input::Read {
                     began,
@@ -299,6 +301,7 @@
                 self.malformed.insert(entry);
             }
         }
+        self.view.note_own_read(began);
         let registry = Registry::new(registrations.entries, registrations.revision, began);
         let is_first = !self.has_registry();
         if self.view.supersedes(&registry) {
--- a/crates/mustardtiller/src/controllers/registry/updates.rs
+++ b/crates/mustardtiller/src/controllers/registry/updates.rs
@@ -53,11 +53,16 @@
     /// from the registry held to the peer's.
     pub(super) async fn handle_update(&mut self, peer: SocketAddr, update: &RegistryUpdate) {
         let now = self.node.clock.now();
+        let read_at = now.minus_micros(u64::from(update.age_ms) * 1_000);
+        let unbroken_since = now.minus_micros(u64::from(update.unbroken_ms) * 1_000);
         let age = RegistryAge {
-            read_at: now.minus_micros(u64::from(update.age_ms) * 1_000),
-            unbroken_since: now.minus_micros(u64::from(update.unbroken_ms) * 1_000),
+            read_at,
+            unbroken_since: self.view.covered_since(unbroken_since, read_at),
         };
-        if self.view.hear_of_reads(age.unbroken_since, age.read_at) {
+        let ended = self
+            .view
+            .hear_of_reads(update.revision, age.unbroken_since, read_at);
+        if ended {
             self.publish_usable();
         }
         if !self.view.is_news(update.revision, age.read_at) {
