--- a/crates/mustardtiller/src/upstream/exchange.rs
+++ b/crates/mustardtiller/src/upstream/exchange.rs
@@ -230,6 +230,7 @@
     body_cut: &Arc<AtomicBool>,
 ) -> Result<SendOutcome, Refusal> {
     let deadline = req.deadline;
+    let kind_digest = req.kind_digest;
     let Some(upstream) = node.own_upstream() else {
         return Err(unsent.refuse(NotRunReason::NoConfiguration).into());
     };
@@ -258,6 +259,10 @@
                 }
             },
         };
+        // A connection may take so long that the upstream leaves meanwhile.
+        if let Some(reason) = node.start_refusal(kind_digest) {
+            return Err(unsent.refuse(reason).into());
+        }
         if !keeps_start(node, granted_at) {
             return Err(unsent.refuse(NotRunReason::RateLimited).into());
         }
@@ -297,7 +302,7 @@
                         return Ok(SendOutcome::without_resend(sent, pooled, failed));
                     };
                     http = second;
-                    return resend(node, sent, http, upstream.address, deadline).await;
+                    return resend(node, sent, http, kind_digest, upstream.address, deadline).await;
                 }
                 (None, _) => {
                     let failed = Some((sender, Err(())));
@@ -315,13 +320,17 @@
     let Some(service) = node.own_service() else {
         return false;
     };
+    // A retry that may not start would be spent for nothing.
+    if !node.board.gate.try_start(node.clock.now()) {
+        return false;
+    }
     let routes = node.board.routes.read();
     let routes = routes.services.get(&service);
     let spent = routes.is_some_and(|routes| routes.retries.try_spend());
     if spent {
         node.metrics.count_retry(RetryReason::Lost);
     }
-    spent && node.board.gate.try_start(node.clock.now())
+    spent
 }
 
 /// Note that an exchange failed in a way that a restart of the upstream explains.
@@ -347,11 +356,15 @@
     node: &Arc<Node>,
     sent: Sent,
     http: Request<RequestBody>,
+    kind_digest: u32,
     address: SocketAddr,
     deadline: Deadline,
 ) -> Result<SendOutcome, Refusal> {
     let granted_at = node.clock.now();
     let connected = connect(node, address, deadline).await;
+    if connected.is_ok() && node.start_refusal(kind_digest).is_some() {
+        return Err(sent.unknown(UnknownReason::AnswerCut));
+    }
     let Some(mut sender) = connected.ok().filter(|_| keeps_start(node, granted_at)) else {
         doubt_temperature(node);
         return Err(sent.unknown(UnknownReason::AnswerCut));
