fix(memory): unread bodies cut no stream of work that runs

Cause: requests that are still read could fill the whole account, and a stream whose receiver was busy was then cut. Change: requests are judged against four fifths of the capacity, the rest is left to streams, links and answers.

--- a/crates/mustardtiller-core/src/admit/held.rs
+++ b/crates/mustardtiller-core/src/admit/held.rs
@@ -8,6 +8,9 @@
 /// Share of the free bytes that one holder may take, as a divisor.
 const FREE_DIVISOR: u64 = 4;
 
+/// Share of the capacity that is kept from requests that are still read, as a divisor.
+const STREAMS_DIVISOR: u64 = 5;
+
 /// Share of the capacity from which stalled bodies are refused, as a divisor.
 const PRESSURE_DIVISOR: u64 = 2;
 
@@ -67,6 +70,15 @@
         own + more <= free / FREE_DIVISOR
     }
 
+    /// Return the rule for requests that are still read, whose work has not begun.
+    ///
+    /// The load that this answers: bodies that stop short of their end fill the account,
+    /// and the streams of work that runs are cut. The last fifth is left to the streams.
+    #[must_use]
+    pub const fn for_requests(self) -> Self {
+        Self::with_capacity(self.capacity_bytes - self.capacity_bytes / STREAMS_DIVISOR)
+    }
+
     /// Report whether stalled bodies have to give up what they hold.
     #[must_use]
     pub const fn is_under_pressure(self, total: u64) -> bool {
--- a/crates/mustardtiller/src/board/held_bytes.rs
+++ b/crates/mustardtiller/src/board/held_bytes.rs
@@ -92,11 +92,19 @@
             .is_under_pressure(self.total.load(Ordering::Relaxed))
     }
 
-    /// Report whether a new holder could take `bytes`, without taking them.
+    /// Return the rule by which a kind of holder is judged.
+    const fn rule_for(&self, holder: Holder) -> HeldRule {
+        match holder {
+            Holder::Requests => self.rule.for_requests(),
+            Holder::Streams | Holder::Links | Holder::Answers | Holder::Ledger => self.rule,
+        }
+    }
+
+    /// Report whether a new request could take `bytes`, without taking them.
     #[must_use]
     pub fn has_room(&self, bytes: u64) -> bool {
         let total = self.total.load(Ordering::Relaxed);
-        self.rule.admits(total, 0, bytes) || self.note_full()
+        self.rule_for(Holder::Requests).admits(total, 0, bytes) || self.note_full()
     }
 
     /// Charge bytes that can't be refused any more.
@@ -108,7 +116,7 @@
     /// Charge bytes for a holder that has `own` bytes, if the rule admits them.
     pub fn try_charge(&self, holder: Holder, own: u64, bytes: u64) -> bool {
         let total = self.total.fetch_add(bytes, Ordering::Relaxed);
-        if !self.rule.admits(total, own, bytes) {
+        if !self.rule_for(holder).admits(total, own, bytes) {
             self.total.fetch_sub(bytes, Ordering::Relaxed);
             return self.note_full();
         }
--- a/crates/mustardtiller/src/link/inbox.rs
+++ b/crates/mustardtiller/src/link/inbox.rs
@@ -33,6 +33,8 @@
     Delivered,
     /// The stream's receiver was dropped.
     ReceiverGone,
+    /// The stream was cut, since there was no room for the frame.
+    Cut,
     /// The peer exceeded the stream's flow-control window.
     WindowExceeded,
 }
@@ -130,10 +132,13 @@
         if left.fetch_sub(cost as i64, Ordering::SeqCst) < cost as i64 {
             return Delivery::WindowExceeded;
         }
-        if self.tx.is_closed() || !self.window.charge(&frame, cost as u64) {
-            self.tx.close();
+        if self.tx.is_closed() {
             return Delivery::ReceiverGone;
         }
+        if !self.window.charge(&frame, cost as u64) {
+            self.tx.close();
+            return Delivery::Cut;
+        }
         match self.tx.try_send(frame) {
             Ok(()) => Delivery::Delivered,
             Err(_) => Delivery::ReceiverGone,
--- a/crates/mustardtiller/src/link/server.rs
+++ b/crates/mustardtiller/src/link/server.rs
@@ -465,6 +465,10 @@
             .map(|s| s.inbox_tx.deliver(frame, bytes))
         {
             Some(Delivery::WindowExceeded) => Err("stream exceeded its flow-control window"),
+            Some(Delivery::Cut) => {
+                self.node.metrics.count(CounterId::StreamsCut);
+                Ok(())
+            }
             Some(Delivery::Delivered | Delivery::ReceiverGone) | None => Ok(()),
         }
     }
--- a/crates/mustardtiller/src/link/table.rs
+++ b/crates/mustardtiller/src/link/table.rs
@@ -183,6 +183,10 @@
                 metrics.count(CounterId::AnswersLate);
                 Ok(())
             }
+            Delivery::Cut => {
+                metrics.count(CounterId::StreamsCut);
+                Ok(())
+            }
             Delivery::WindowExceeded => Err("stream exceeded its flow-control window"),
         }
     }
--- a/crates/mustardtiller/src/metrics/counters.rs
+++ b/crates/mustardtiller/src/metrics/counters.rs
@@ -56,6 +56,7 @@
     "Connections accepted from callers" CallersAccepted = "callers_accepted",
     "Idle connections of callers closed to make room" CallersDismissed = "callers_dismissed",
     "Stalled request bodies given up" BodiesStalled = "bodies_stalled",
+    "Streams cut for want of memory" StreamsCut = "streams_cut",
     "Answers cut because nobody read them" AnswersUnread = "answers_unread",
     "Connections that a listener failed to accept" AcceptsFailed = "accepts_failed",
     "Offers made in other regions" OffersElsewhere = "offers_elsewhere",
