fix(link): close a link made for a retired slot

Cause: a link published just after its slot was retired stayed open, as the slot had closed the link before it. Change: the slot is checked after each link is published, also a second one.

--- a/crates/mustardtiller/src/link/connector.rs
+++ b/crates/mustardtiller/src/link/connector.rs
@@ -144,6 +144,10 @@
         link.ping(now);
     }
     candidate.link_slot.set(Some(Arc::clone(&link)));
+    // The slot may have been retired meanwhile, which closed the link before it.
+    if candidate.link_slot.is_retired() {
+        link.close();
+    }
     RunningLink {
         link,
         table,
