fix(link): keep a replaced link for a second and one more round

Cause: a lost packet that is sent again late cancelled what was read on a replaced link after 600 ms, and a request that took the link before it was replaced could register after the link was seen empty, and ended as link-lost. Change: a replaced link is given up after five rounds of 200 ms, and closed only when two rounds in turn have seen it empty.

--- a/crates/mustardtiller/src/link/guard.rs
+++ b/crates/mustardtiller/src/link/guard.rs
@@ -32,7 +32,7 @@
 /// A lost packet is sent again after 200 ms, and once more 400 ms later.
 const REPLACED_RULE: SilenceRule = SilenceRule {
     ping_after: 1,
-    close_after: 3,
+    close_after: 5,
     idle_ping_every: u32::MAX,
 };
 
@@ -145,12 +145,15 @@
     reading: Task<()>,
 ) {
     let mut watch = SilenceWatch::default();
+    let mut was_empty = false;
     loop {
         let open = link.open_streams();
-        if open == 0 {
+        // A request that took the link before it was replaced may still open a stream.
+        if open == 0 && was_empty {
             link.close();
             break;
         }
+        was_empty = open == 0;
         match watch.step(&REPLACED_RULE, open, link.frames(), false) {
             SilenceEffect::Nothing => {}
             SilenceEffect::Ping => link.ping(node.clock.now()),
