fix(link): looks at a link last its round trip

Cause: a link whose path is longer than the two looks of 10 ms was suspected at each slow answer and got a second connection. A usual time of zero also meant a probe. Idle links were probed as often as another one went silent. Change: a look lasts the measured round trip, at least 10 ms; a probe is a flag of its own; an idle link is probed at most once in 250 ms.

--- a/crates/mustardtiller-core/src/silence/mod.rs
+++ b/crates/mustardtiller-core/src/silence/mod.rs
@@ -3,6 +3,7 @@
 mod suspicion;
 mod watch;
 
+pub use suspicion::LinkPace;
 pub use suspicion::Suspicion;
 pub use suspicion::SuspicionEffect;
 pub use suspicion::SuspicionRule;
--- a/crates/mustardtiller-core/src/silence/suspicion.rs
+++ b/crates/mustardtiller-core/src/silence/suspicion.rs
@@ -10,7 +10,9 @@
     pub grace_ms: u64,
     /// Longest time that counts as usual, in milliseconds.
     pub max_usual_ms: u64,
-    /// Time between two looks for the reply to a ping, in milliseconds.
+    /// Shortest time between two looks for the reply to a ping, in milliseconds.
+    ///
+    /// A link whose measured round trip is longer is given that time between looks.
     pub look_ms: u64,
     /// Looks without a frame after which the link is suspected.
     pub looks: u32,
@@ -27,6 +29,17 @@
     }
 }
 
+/// How fast frames are expected on a link.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkPace {
+    /// Usual time of an answer, in microseconds.
+    pub usual_micros: u64,
+    /// Measured round trip to the peer, in microseconds.
+    pub round_trip_micros: u64,
+    /// Whether the link is pinged at once, without a wait for an answer.
+    pub is_probed: bool,
+}
+
 /// What to do about a link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SuspicionEffect {
@@ -38,11 +51,12 @@
     Suspect,
 }
 
-/// Whether a link in use has gone silent, judged within tens of milliseconds.
+/// Whether a link in use has gone silent, judged within a few round trips.
 ///
 /// It answers the load pattern of a network that drops the packets of connections that
 /// are open: each request on such a link would wait until it is closed for silence. A
-/// suspected link is not closed; only a peer that answers elsewhere proves it dead.
+/// suspected link is not closed: once the peer answers on a second one, that takes the new requests, and
+/// the first keeps its own.
 ///
 /// Looks are counted, not timed: a process that was paused reads the frames that came
 /// meanwhile before its next look.
@@ -64,20 +78,19 @@
         }
     }
 
-    /// Look at the link, and return what to do.
-    ///
-    /// `usual_micros` is the usual time of an answer; zero asks for a ping now.
+    /// Look at the link, on which `frames` frames have come, and return what to do.
     pub fn step(
         &mut self,
         rule: &SuspicionRule,
+        pace: LinkPace,
         frames: u64,
-        usual_micros: u64,
         now: Instant,
     ) -> SuspicionEffect {
         if frames != self.frames {
             *self = Self::begin(frames, now);
         }
-        let next_look = Deadline::in_millis(now, rule.look_ms);
+        let look_micros = pace.round_trip_micros.max(rule.look_ms * 1_000);
+        let next_look = Deadline::at(now.plus_micros(look_micros));
         match &mut self.looks {
             Some(looks) => {
                 *looks += 1;
@@ -88,10 +101,10 @@
                 }
             }
             None => {
-                let usual = usual_micros.min(rule.max_usual_ms * 1_000);
-                let grace = if usual == 0 { 0 } else { rule.grace_ms * 1_000 };
-                let due = Deadline::at(self.since.plus_micros(usual + grace));
-                if !due.has_passed(now) {
+                let usual = pace.usual_micros.min(rule.max_usual_ms * 1_000);
+                let quiet = usual + rule.grace_ms * 1_000;
+                let due = Deadline::at(self.since.plus_micros(quiet));
+                if !pace.is_probed && !due.has_passed(now) {
                     return SuspicionEffect::Wait(due);
                 }
                 self.looks = Some(0);
--- a/crates/mustardtiller-core/src/time/offset.rs
+++ b/crates/mustardtiller-core/src/time/offset.rs
@@ -35,9 +35,14 @@
         self.peer.as_micros() as i64 - middle as i64
     }
 
+    /// Return the time from the request to the reply, in microseconds.
+    fn round_trip_micros(&self) -> u64 {
+        self.received.micros_since(self.sent)
+    }
+
     /// Return the error bound of the offset at `now`, in microseconds.
     fn error_micros(&self, now: Instant) -> u64 {
-        let half_trip = self.received.micros_since(self.sent).div_ceil(2);
+        let half_trip = self.round_trip_micros().div_ceil(2);
         let drift = now.micros_since(self.received) * DRIFT_PPM / 1_000_000;
         half_trip + drift
     }
@@ -100,6 +105,15 @@
         Some(Instant::from_micros(there))
     }
 
+    /// Return the shortest round trip of the recent exchanges, in microseconds.
+    ///
+    /// Zero before the first exchange.
+    #[must_use]
+    pub fn round_trip_micros(&self) -> u64 {
+        let trips = self.samples.iter().map(ClockSample::round_trip_micros);
+        trips.min().unwrap_or(0)
+    }
+
     /// Report whether another exchange is due: there was none, or its error is too large.
     #[must_use]
     pub fn needs_exchange(&self, now: Instant) -> bool {
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -90,8 +90,9 @@
 
 /// Run a call on one upstream.
 ///
-/// If its link goes silent and the gate states on a second link that it never read the
-/// request, the request is sent once more, on the second link.
+/// A link that is replaced keeps its requests. If it then stays silent and the gate
+/// states that it never read the request, the request is sent once more, on the link
+/// that has taken its place.
 ///
 /// # Errors
 ///
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -40,7 +40,7 @@
 /// Time without a frame after which a link counts as quiet, in microseconds.
 ///
 /// A quiet link is checked with a ping before a non-idempotent request is sent
-/// on it. The value is ten times the usual answer time.
+/// on it.
 const QUIET_MICROS: u64 = 2_000_000;
 
 /// Timeout of the ping that checks a quiet link, in milliseconds.
@@ -145,6 +145,11 @@
         self.offset.load().peer_now(now)
     }
 
+    /// Return the measured round trip to the gate, in microseconds.
+    pub(super) fn round_trip_micros(&self) -> u64 {
+        self.offset.load().round_trip_micros()
+    }
+
     /// Report whether the estimate of the gate's clock is too wide for deadlines.
     #[must_use]
     pub fn needs_clock_exchange(&self, now: Instant) -> bool {
--- a/crates/mustardtiller/src/link/guard.rs
+++ b/crates/mustardtiller/src/link/guard.rs
@@ -14,6 +14,7 @@
 use crate::events::Event;
 use crate::metrics::CounterId;
 use mustardtiller_core::Deadline;
+use mustardtiller_core::LinkPace;
 use mustardtiller_core::SilenceEffect;
 use mustardtiller_core::SilenceRule;
 use mustardtiller_core::SilenceWatch;
@@ -39,6 +40,9 @@
 /// Timeout of the gate's statement of what it has read, in milliseconds.
 const DISOWN_TIMEOUT_MS: u64 = 300;
 
+/// Shortest time between two probes of an idle link, in milliseconds.
+const PROBE_EVERY_MS: u64 = 250;
+
 /// Pause after a second link was not needed or could not be made, in milliseconds.
 const PAUSE_MS: u64 = 100;
 
@@ -52,8 +56,12 @@
     candidate: &Candidate,
     link: &LinkHandle,
 ) -> Connected {
+    let mut next_probe = Deadline::at(node.clock.now());
     loop {
-        let probed = wait_for_use(node, link).await;
+        let probed = wait_for_use(node, link, next_probe).await;
+        if probed {
+            next_probe = Deadline::in_millis(node.clock.now(), PROBE_EVERY_MS);
+        }
         if !is_suspected(node, candidate, link, probed).await {
             continue;
         }
@@ -67,8 +75,8 @@
 
 /// Wait until a request is open on the link, or another link has proved silent.
 ///
-/// Returns whether the link is to be pinged at once.
-async fn wait_for_use(node: &Node, link: &LinkHandle) -> bool {
+/// Returns whether the link is to be pinged at once, which it is not before `next_probe`.
+async fn wait_for_use(node: &Node, link: &LinkHandle, next_probe: Deadline) -> bool {
     let other_silent = node.link_silent.listen();
     let opened = link.opened.listen();
     if link.open_streams() > 0 {
@@ -80,6 +88,7 @@
     };
     let probed = async {
         other_silent.await;
+        node.clock.sleep_until(next_probe).await;
         true
     };
     future::or(opened, probed).await
@@ -95,13 +104,13 @@
         if (link.open_streams() == 0 && !probed) || is_answered {
             return false;
         }
-        let usual_micros = if probed {
-            0
-        } else {
-            u64::from(candidate.signals.latency_micros())
+        let pace = LinkPace {
+            usual_micros: u64::from(candidate.signals.latency_micros()),
+            round_trip_micros: link.round_trip_micros(),
+            is_probed: probed,
         };
         let now = node.clock.now();
-        let until = match suspicion.step(&rule, link.frames(), usual_micros, now) {
+        let until = match suspicion.step(&rule, pace, link.frames(), now) {
             SuspicionEffect::Wait(until) => until,
             SuspicionEffect::Ping(until) => {
                 link.ping(now);
