--- a/crates/mustardtiller/src/board/blackboard.rs
+++ b/crates/mustardtiller/src/board/blackboard.rs
@@ -71,7 +71,9 @@
     pub routes: Snapshot<Routes>,
     /// The gate's state; [`GateState`] names the writers of its fields.
     pub gate: GateState,
-    /// What operators allow in this host's data centre. Written by the routes controller.
+    /// What operators allow in this host's data centre.
+    ///
+    /// Written by the configuration controller.
     pub placement: Placement,
     /// The lifecycle phase of the process; [`PhaseCell`] names its writers.
     pub phase: PhaseCell,
