perf(link): look at a link only when an answer on it is overdue

Cause: the watch of each link woke with every request on it and set a timer. Change: an attempt reports its link when its answer is overdue; the watch waits for that and pings a link that has been quiet for as long.

--- a/crates/mustardtiller-core/src/silence/suspicion.rs
+++ b/crates/mustardtiller-core/src/silence/suspicion.rs
@@ -29,6 +29,17 @@
     }
 }
 
+impl SuspicionRule {
+    /// Return when an answer is overdue on a link that is quiet since `since`.
+    ///
+    /// `usual_micros` is the usual time of an answer, in microseconds.
+    #[must_use]
+    pub fn overdue_at(&self, usual_micros: u64, since: Instant) -> Deadline {
+        let usual = usual_micros.min(self.max_usual_ms * 1_000);
+        Deadline::at(since.plus_micros(usual + self.grace_ms * 1_000))
+    }
+}
+
 /// How fast frames are expected on a link.
 #[derive(Clone, Copy, Debug)]
 pub struct LinkPace {
@@ -55,8 +66,8 @@
 ///
 /// It answers the load pattern of a network that drops the packets of connections that
 /// are open: each request on such a link would wait until it is closed for silence. A
-/// suspected link is not closed: once the peer answers on a second one, that takes the new requests, and
-/// the first keeps its own.
+/// suspected link is not closed: once the peer answers on a second one, that takes the
+/// new requests, and the first keeps its own.
 ///
 /// Looks are counted, not timed: a process that was paused reads the frames that came
 /// meanwhile before its next look.
@@ -68,7 +79,7 @@
 }
 
 impl Suspicion {
-    /// Begin when a link comes into use, with the number of frames received so far.
+    /// Begin with the number of frames received so far, the last of them at `now`.
     #[must_use]
     pub const fn begin(frames: u64, now: Instant) -> Self {
         Self {
@@ -101,9 +112,7 @@
                 }
             }
             None => {
-                let usual = pace.usual_micros.min(rule.max_usual_ms * 1_000);
-                let quiet = usual + rule.grace_ms * 1_000;
-                let due = Deadline::at(self.since.plus_micros(quiet));
+                let due = rule.overdue_at(pace.usual_micros, self.since);
                 if !pace.is_probed && !due.has_passed(now) {
                     return SuspicionEffect::Wait(due);
                 }
--- a/crates/mustardtiller/src/entry/attempt.rs
+++ b/crates/mustardtiller/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to run a call on one upstream, through its gate.
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use crate::entry::call::CallBody;
 use crate::entry::call::InFlight;
 use crate::link::ClientStream;
+use crate::link::LinkHandle;
 use crate::link::Reply;
 use crate::link::StreamDeadlines;
 use mustardtiller_config::Kind;
@@ -25,6 +27,7 @@
 use mustardtiller_core::QueueMode;
 use mustardtiller_core::Refusal;
 use mustardtiller_core::Sent;
+use mustardtiller_core::SuspicionRule;
 use mustardtiller_core::UnknownReason;
 use mustardtiller_core::Unsent;
 use mustardtiller_core::Verdict;
@@ -154,12 +157,33 @@
         Err(e) => return Err(AttemptError::Unsent(e.unsent.refuse(e.reason))),
     };
     let exchanging = exchange(stream, &mut call.body);
-    let exchange_result = cx.node.clock.within(cx.deadline, exchanging).await;
-    let exchange_result =
-        exchange_result.unwrap_or(ExchangeResult::Lost(UnknownReason::DeadlinePassed));
+    let exchange_result = watched(cx, candidate, &link, exchanging).await;
     conclude(cx.node, sent, exchange_result, in_flight)
 }
 
+/// Run an exchange until the deadline, and report the link each time it is overdue.
+async fn watched(
+    cx: AttemptCx<'_>,
+    candidate: &Candidate,
+    link: &LinkHandle,
+    exchanging: impl Future<Output = ExchangeResult>,
+) -> ExchangeResult {
+    let rule = SuspicionRule::default();
+    let clock = cx.node.clock;
+    let mut exchanging = pin!(exchanging);
+    loop {
+        let usual_micros = u64::from(candidate.signals.latency_micros());
+        let overdue = rule.overdue_at(usual_micros, clock.now()).min(cx.deadline);
+        if let Some(result) = clock.within(overdue, exchanging.as_mut()).await {
+            return result;
+        }
+        if cx.deadline.has_passed(clock.now()) {
+            return ExchangeResult::Lost(UnknownReason::DeadlinePassed);
+        }
+        link.note_overdue();
+    }
+}
+
 /// Result of an exchange over the link.
 enum ExchangeResult {
     Answer {
--- a/crates/mustardtiller/src/link/client.rs
+++ b/crates/mustardtiller/src/link/client.rs
@@ -82,8 +82,8 @@
     gate_incarnation: Incarnation,
     /// Random number by which the gate knows the link.
     id: u64,
-    /// Notified when a stream is opened.
-    pub(super) opened: Event,
+    /// Notified when an answer on the link is overdue.
+    pub(super) overdue: Event,
     /// What the gate has read of a link that was disowned.
     read: OnceLock<ReadStreams>,
     offset: ArcSwap<ClockOffset>,
@@ -114,7 +114,7 @@
             going_away: AtomicBool::new(false),
             gate_incarnation,
             id,
-            opened: Event::new(),
+            overdue: Event::new(),
             read: OnceLock::new(),
             offset: ArcSwap::from_pointee(offset),
         };
@@ -226,8 +226,17 @@
     /// Report whether no frame has come for longer than `QUIET_MICROS`.
     #[must_use]
     pub fn is_quiet(&self, now: Instant) -> bool {
-        let last_frame = Instant::from_micros(self.last_frame_at.load(Ordering::Relaxed));
-        now.micros_since(last_frame) > QUIET_MICROS
+        now.micros_since(self.last_frame_at()) > QUIET_MICROS
+    }
+
+    /// Return when the last frame was received.
+    pub(super) fn last_frame_at(&self) -> Instant {
+        Instant::from_micros(self.last_frame_at.load(Ordering::Relaxed))
+    }
+
+    /// Record that an answer on the link takes longer than usual.
+    pub fn note_overdue(&self) {
+        self.overdue.notify(usize::MAX);
     }
 
     /// Ping the gate and report whether any frame comes in time.
@@ -332,7 +341,6 @@
         // If the table is closed, `inbox_tx` is dropped and the stream sees the link
         // as lost.
         let _ = self.registrations.try_send(registration);
-        self.opened.notify(usize::MAX);
         ClientStream::new(Arc::clone(self), stream, inbox, credit)
     }
 
--- a/crates/mustardtiller/src/link/guard.rs
+++ b/crates/mustardtiller/src/link/guard.rs
@@ -58,7 +58,7 @@
 ) -> Connected {
     let mut next_probe = Deadline::at(node.clock.now());
     loop {
-        let probed = wait_for_use(node, link, next_probe).await;
+        let probed = wait_for_doubt(node, link, next_probe).await;
         if probed {
             next_probe = Deadline::in_millis(node.clock.now(), PROBE_EVERY_MS);
         }
@@ -73,17 +73,14 @@
     }
 }
 
-/// Wait until a request is open on the link, or another link has proved silent.
+/// Wait until an answer is overdue on the link, or another link has proved silent.
 ///
 /// Returns whether the link is to be pinged at once, which it is not before `next_probe`.
-async fn wait_for_use(node: &Node, link: &LinkHandle, next_probe: Deadline) -> bool {
+async fn wait_for_doubt(node: &Node, link: &LinkHandle, next_probe: Deadline) -> bool {
     let other_silent = node.link_silent.listen();
-    let opened = link.opened.listen();
-    if link.open_streams() > 0 {
-        return false;
-    }
-    let opened = async {
-        opened.await;
+    let overdue = link.overdue.listen();
+    let overdue = async {
+        overdue.await;
         false
     };
     let probed = async {
@@ -91,35 +88,35 @@
         node.clock.sleep_until(next_probe).await;
         true
     };
-    future::or(opened, probed).await
+    future::or(overdue, probed).await
 }
 
-/// Watch the link until it is out of use or suspected; return whether it is suspected.
+/// Ping the link unless frames come on it; return whether it is suspected.
 async fn is_suspected(node: &Node, candidate: &Candidate, link: &LinkHandle, probed: bool) -> bool {
     let rule = SuspicionRule::default();
     let frames = link.frames();
-    let mut suspicion = Suspicion::begin(frames, node.clock.now());
-    loop {
-        let is_answered = probed && link.frames() != frames;
-        if (link.open_streams() == 0 && !probed) || is_answered {
-            return false;
-        }
+    let mut suspicion = Suspicion::begin(frames, link.last_frame_at());
+    let mut pinged = false;
+    while link.frames() == frames {
         let pace = LinkPace {
             usual_micros: u64::from(candidate.signals.latency_micros()),
             round_trip_micros: link.round_trip_micros(),
             is_probed: probed,
         };
         let now = node.clock.now();
-        let until = match suspicion.step(&rule, pace, link.frames(), now) {
+        let until = match suspicion.step(&rule, pace, frames, now) {
+            SuspicionEffect::Wait(_) if !pinged => return false,
             SuspicionEffect::Wait(until) => until,
             SuspicionEffect::Ping(until) => {
                 link.ping(now);
+                pinged = true;
                 until
             }
             SuspicionEffect::Suspect => return true,
         };
         node.clock.sleep_until(until).await;
     }
+    false
 }
 
 /// Open a second link; `None` if the first one turns out to work or the gate doesn't answer.
