fix(entry): a slow reader's answer is not cut to make room

Cause: when the entry was full, a connection whose answer had been unread for a second was closed midway; a stalled body that was answered meanwhile counted as stalled for the rest of the connection's life; the send buffer of a caller's socket grew without bound, so that a slow reader looked like one that reads nothing. Change: an unread answer makes room after 5 s (UNREAD_MS), bodies as before after one; the decision is CallerTimes (core), and closing tests the age of the unread answer itself. A body's wait ends on drop and with the answer's head. The send buffer is 128 KB. The wait that ends with the answer's head and the send buffer have no test of their own.

--- a/crates/mustardtiller-core/src/admit/held.rs
+++ b/crates/mustardtiller-core/src/admit/held.rs
@@ -23,6 +23,9 @@
 /// Time without a byte after which a body counts as stalled, in milliseconds.
 pub const STALLED_MS: u64 = 1_000;
 
+/// Time after which an answer that its caller doesn't read may be cut, in milliseconds.
+pub const UNREAD_MS: u64 = 5_000;
+
 /// Decides who may hold bytes in memory.
 ///
 /// The load that this answers: a crowd of large bodies, whole or in chunks, that stop
--- a/crates/mustardtiller-core/src/admit/idle_callers.rs
+++ b/crates/mustardtiller-core/src/admit/idle_callers.rs
@@ -1,12 +1,17 @@
 //! Which callers' connections an entry closes to make room for new ones.
 
 use crate::Instant;
+use crate::STALLED_MS;
+use crate::UNREAD_MS;
 
 /// Share of the bound that is freed at once, as a divisor.
 ///
 /// Choosing reads the state of every connection, so it should not be done for each.
 const BATCH_DIVISOR: usize = 16;
 
+/// Microseconds in a millisecond.
+const MILLI_MICROS: u64 = 1_000;
+
 /// What a caller's connection does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallerState {
@@ -18,6 +23,45 @@
     Stalled(Instant),
 }
 
+/// Since when a caller's connection has been as it is.
+///
+/// The load that this answers: callers that stop sending or reading, beside slow but
+/// steady ones whose answers should not be cut.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallerTimes {
+    /// Since when it has waited for a request; `None` while one is in flight.
+    pub idle_since: Option<Instant>,
+    /// Since when bytes of a body are awaited.
+    pub awaited_since: Option<Instant>,
+    /// Since when its caller reads nothing.
+    pub unread_since: Option<Instant>,
+}
+
+impl CallerTimes {
+    /// Return what the connection does at `now`.
+    #[must_use]
+    pub fn state(self, now: Instant) -> CallerState {
+        let stalled = lasting(self.awaited_since, STALLED_MS, now);
+        let owes = self.awaited_since.or(self.unread_since).is_some();
+        match (stalled.or_else(|| self.unread(now)), self.idle_since) {
+            (Some(since), _) => CallerState::Stalled(since),
+            (None, Some(since)) if !owes => CallerState::Idle(since),
+            (None, _) => CallerState::Busy,
+        }
+    }
+
+    /// Return since when an answer has been unread, if it may be cut for that.
+    #[must_use]
+    pub fn unread(self, now: Instant) -> Option<Instant> {
+        lasting(self.unread_since, UNREAD_MS, now)
+    }
+}
+
+/// Return `since` if it is at least `limit_ms` ago.
+fn lasting(since: Option<Instant>, limit_ms: u64, now: Instant) -> Option<Instant> {
+    since.filter(|since| now.micros_since(*since) >= limit_ms * MILLI_MICROS)
+}
+
 /// Choose the connections to close when `bound` is reached, by index.
 ///
 /// The longest idle ones are chosen, then those whose request's body has stalled
--- a/crates/mustardtiller/src/board/connection.rs
+++ b/crates/mustardtiller/src/board/connection.rs
@@ -7,15 +7,12 @@
 use event_listener::Event;
 
 use mustardtiller_core::CallerState;
+use mustardtiller_core::CallerTimes;
 use mustardtiller_core::Instant;
-use mustardtiller_core::STALLED_MS;
 
 /// Value of `idle_since` while a request is in flight.
 const BUSY: u64 = u64::MAX;
 
-/// Microseconds in a millisecond.
-const MILLI_MICROS: u64 = 1_000;
-
 /// Value of `awaited_since` and `unread_since` while the caller owes nothing.
 const NOT_AWAITED: u64 = u64::MAX;
 
@@ -30,6 +27,8 @@
     awaited_since: AtomicU64,
     /// Since when the caller reads nothing, in microseconds, or [`NOT_AWAITED`].
     unread_since: AtomicU64,
+    /// Whether the head of the answer is there, so that no body is awaited.
+    is_answering: AtomicBool,
     unwanted: AtomicBool,
     ended: AtomicBool,
     changed: Event,
@@ -43,6 +42,7 @@
             idle_since: AtomicU64::new(now.as_micros()),
             awaited_since: AtomicU64::new(NOT_AWAITED),
             unread_since: AtomicU64::new(NOT_AWAITED),
+            is_answering: AtomicBool::new(false),
             unwanted: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             changed: Event::new(),
@@ -51,18 +51,27 @@
 
     /// Record that a request is in flight.
     pub fn begin_request(&self) {
+        self.is_answering.store(false, Ordering::Relaxed);
         self.idle_since.store(BUSY, Ordering::SeqCst);
     }
 
+    /// Record that the head of the answer is there; the rest of the body is not awaited.
+    pub fn begin_answer(&self) {
+        self.is_answering.store(true, Ordering::Relaxed);
+        self.end_wait();
+    }
+
     /// Record that no request is in flight since `now`, as its answer is written.
     pub fn end_request(&self, now: Instant) {
         self.end_wait();
         self.idle_since.store(now.as_micros(), Ordering::SeqCst);
     }
 
-    /// Record that bytes of a body are awaited since `now`.
+    /// Record that bytes of a body are awaited since `now`, unless it is being answered.
     pub fn begin_wait(&self, now: Instant) {
-        self.awaited_since.store(now.as_micros(), Ordering::Relaxed);
+        if !self.is_answering.load(Ordering::Relaxed) {
+            self.awaited_since.store(now.as_micros(), Ordering::Relaxed);
+        }
     }
 
     /// Record that no bytes of a body are awaited.
@@ -86,11 +95,10 @@
     /// doesn't read the answer.
     #[must_use]
     pub fn is_closable(&self, now: Instant) -> bool {
-        match self.state(now) {
+        let times = self.times();
+        match times.state(now) {
             CallerState::Idle(_) => true,
-            CallerState::Stalled(_) => {
-                self.is_dismissed() && self.unread_since.load(Ordering::Relaxed) != NOT_AWAITED
-            }
+            CallerState::Stalled(_) => self.is_dismissed() && times.unread(now).is_some(),
             CallerState::Busy => false,
         }
     }
@@ -98,21 +106,14 @@
     /// Return what the connection does at `now`.
     #[must_use]
     pub fn state(&self, now: Instant) -> CallerState {
-        let idle_since = self.idle_since.load(Ordering::SeqCst);
-        let awaited_since = self.awaited_since.load(Ordering::Relaxed);
-        let unread_since = self.unread_since.load(Ordering::Relaxed);
-        let stalled_since = awaited_since.min(unread_since);
-        if stalled_since != NOT_AWAITED {
-            let since = Instant::from_micros(stalled_since);
-            if now.micros_since(since) < STALLED_MS * MILLI_MICROS {
-                CallerState::Busy
-            } else {
-                CallerState::Stalled(since)
-            }
-        } else if idle_since == BUSY {
-            CallerState::Busy
-        } else {
-            CallerState::Idle(Instant::from_micros(idle_since))
+        self.times().state(now)
+    }
+
+    fn times(&self) -> CallerTimes {
+        CallerTimes {
+            idle_since: read_time(&self.idle_since),
+            awaited_since: read_time(&self.awaited_since),
+            unread_since: read_time(&self.unread_since),
         }
     }
 
@@ -153,3 +154,9 @@
         self.ended.load(Ordering::SeqCst)
     }
 }
+
+/// Read a time; `None` if it is [`BUSY`] or [`NOT_AWAITED`].
+fn read_time(time: &AtomicU64) -> Option<Instant> {
+    let micros = time.load(Ordering::SeqCst);
+    (micros != BUSY && micros != NOT_AWAITED).then(|| Instant::from_micros(micros))
+}
--- a/crates/mustardtiller/src/front/body.rs
+++ b/crates/mustardtiller/src/front/body.rs
@@ -120,6 +120,12 @@
     }
 }
 
+impl Drop for CallerBody {
+    fn drop(&mut self) {
+        self.end_wait();
+    }
+}
+
 impl ChunkSource for CallerBody {
     fn begin(&mut self) {}
 
--- a/crates/mustardtiller/src/front/serve.rs
+++ b/crates/mustardtiller/src/front/serve.rs
@@ -166,6 +166,7 @@
         async move {
             caller.begin_request();
             let response = respond(&node, &caller, req, admission).await;
+            caller.begin_answer();
             let clock = node.clock;
             Ok::<_, Infallible>(response.map(|body| CallerAnswer::new(body, caller, clock)))
         }
--- a/crates/mustardtiller/src/front/socket.rs
+++ b/crates/mustardtiller/src/front/socket.rs
@@ -10,6 +10,7 @@
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use smol::Timer;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -17,6 +18,12 @@
 use crate::board::CallerConnection;
 use crate::clock::Clock;
 
+/// Send buffer of a caller's socket, in bytes.
+///
+/// While it is full, the caller counts as not reading. With a small one, a slow but
+/// steady caller empties it within seconds.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
+
 /// A socket whose writes fail if the peer takes no byte within a time limit.
 ///
 /// Without it, an answer that its caller doesn't read would hold its connection and
@@ -39,6 +46,7 @@
         clock: Clock,
         write_timeout_ms: u64,
     ) -> Self {
+        let _ = set_socket_send_buffer_size(&socket, SEND_BUFFER_BYTES);
         Self {
             io: FuturesIo::new(socket),
             connection,
