--- a/crates/mustardtiller-standin/tests/disowned_links.rs
+++ b/crates/mustardtiller-standin/tests/disowned_links.rs
@@ -13,11 +13,11 @@
 use mustardtiller::wire::Hello;
 use mustardtiller::wire::PROTOCOL_VERSION;
 use mustardtiller::wire::ReadStreams;
-use mustardtiller::wire::RequestHead;
 use mustardtiller::wire::encode_frame;
 
 use util::Fleet;
 use util::FleetPlan;
+use util::request_head;
 
 /// A link as an entry makes it.
 struct Link {
@@ -81,25 +81,7 @@
 }
 
 fn open(stream: u32) -> Frame {
-    let head = RequestHead {
-        upstream: "shop-1".to_owned(),
-        caller: "other".to_owned(),
-        urgent: false,
-        priority: 1,
-        kind_digest: 5,
-        idempotent: false,
-        may_wait: true,
-        method: "GET".to_owned(),
-        uri: "/item".to_owned(),
-        headers: Vec::new(),
-        deadline_micros: u64::MAX / 2,
-        target_micros: u64::MAX / 2,
-        token: None,
-        depth: 0,
-        retried: false,
-        from_idle_host: false,
-        body: BodyFraming::Empty,
-    };
+    let head = request_head("GET", "/item", u64::MAX / 2, BodyFraming::Empty);
     Frame::Open {
         stream,
         head: Box::new(head),
--- a/crates/mustardtiller-standin/tests/hostile_bodies.rs
+++ b/crates/mustardtiller-standin/tests/hostile_bodies.rs
@@ -33,6 +33,7 @@
 use util::crowd::head_for;
 use util::crowd::held;
 use util::crowd::wait_settled;
+use util::request_head;
 use util::wait_for;
 
 /// Memory that a daemon may take: the target's 128 MB.
@@ -240,25 +241,8 @@
 
 /// Return the head of an upload that waits at the gate until the upstream has room.
 fn waiting_upload() -> RequestHead {
-    RequestHead {
-        upstream: Fleet::name(0),
-        caller: "other".to_owned(),
-        urgent: false,
-        priority: 1,
-        kind_digest: 5,
-        idempotent: false,
-        may_wait: true,
-        method: "POST".to_owned(),
-        uri: "/upload".to_owned(),
-        headers: Vec::new(),
-        deadline_micros: u64::MAX / 2,
-        target_micros: u64::MAX / 2,
-        token: None,
-        depth: 0,
-        retried: false,
-        from_idle_host: false,
-        body: BodyFraming::Streamed { length: None },
-    }
+    let body = BodyFraming::Streamed { length: None };
+    request_head("POST", "/upload", u64::MAX / 2, body)
 }
 
 fn hello() -> Frame {
--- a/crates/mustardtiller-standin/tests/link_edge.rs
+++ b/crates/mustardtiller-standin/tests/link_edge.rs
@@ -24,6 +24,7 @@
 use mustardtiller::wire::encode_frame;
 use util::Fleet;
 use util::FleetPlan;
+use util::request_head;
 use util::wait_for;
 
 fn single_upstream() -> Fleet {
@@ -73,24 +74,10 @@
 }
 
 fn browse(upstream: &str, deadline_micros: u64) -> RequestHead {
+    let head = request_head("GET", "/item", deadline_micros, BodyFraming::Empty);
     RequestHead {
         upstream: upstream.to_owned(),
-        caller: "other".to_owned(),
-        urgent: false,
-        priority: 1,
-        kind_digest: 5,
-        idempotent: false,
-        may_wait: true,
-        method: "GET".to_owned(),
-        uri: "/item".to_owned(),
-        headers: Vec::new(),
-        deadline_micros,
-        target_micros: deadline_micros,
-        token: None,
-        depth: 0,
-        retried: false,
-        from_idle_host: false,
-        body: BodyFraming::Empty,
+        ..head
     }
 }
 
--- a/crates/mustardtiller-standin/tests/util/mod.rs
+++ b/crates/mustardtiller-standin/tests/util/mod.rs
@@ -26,6 +26,8 @@
 use mustardtiller::config::Source;
 use mustardtiller::config::build;
 use mustardtiller::config::check;
+use mustardtiller::wire::BodyFraming;
+use mustardtiller::wire::RequestHead;
 use mustardtiller_standin::HttpAnswer;
 use mustardtiller_standin::HttpCall;
 use mustardtiller_standin::Pipe;
@@ -471,3 +473,33 @@
         None => call,
     }
 }
+
+/// Return the head of a request to the first upstream, as an entry sends it on a link.
+///
+/// `deadline_micros` is its deadline and its target, in microseconds of the gate's clock.
+pub fn request_head(
+    method: &str,
+    uri: &str,
+    deadline_micros: u64,
+    body: BodyFraming,
+) -> RequestHead {
+    RequestHead {
+        upstream: Fleet::name(0),
+        caller: "other".to_owned(),
+        urgent: false,
+        priority: 1,
+        kind_digest: 5,
+        idempotent: false,
+        may_wait: true,
+        method: method.to_owned(),
+        uri: uri.to_owned(),
+        headers: Vec::new(),
+        deadline_micros,
+        target_micros: deadline_micros,
+        token: None,
+        depth: 0,
+        retried: false,
+        from_idle_host: false,
+        body,
+    }
+}
