fix(discover): a first page that names no upstream is followed by all pages

Nine daemons in ten read only the first page at a start and ask the daemons that it names; whether they had done so was told by that list. A page without a sound entry left it empty, so they read the first page again for as long as none of them was drawn to read everything.

The controller records that the first page was read, whatever it named, and the next read is of all pages.

--- a/crates/mustardtiller/src/controllers/registry/mod.rs
+++ b/crates/mustardtiller/src/controllers/registry/mod.rs
@@ -89,8 +89,8 @@
     hedge_at: Option<Deadline>,
     /// When another fetch from a peer may begin.
     next_fetch: Deadline,
-    /// Daemons that the first page named, if only that was read so far.
-    acquaintances: Vec<SocketAddr>,
+    /// Whether the first page was read alone, so that the next read is of all pages.
+    has_first_page: bool,
     next_request: Deadline,
     /// When a neighbour may be asked again.
     next_neighbour: Deadline,
@@ -124,7 +124,7 @@
         read_out_of_turn: false,
         hedge_at: None,
         next_fetch: Deadline::at(now),
-        acquaintances: Vec::new(),
+        has_first_page: false,
         next_request: Deadline::at(now),
         next_neighbour: Deadline::at(now),
         malformed: HashSet::new(),
@@ -293,6 +293,7 @@
             .record_outcome(ReadOutcome::Read, rank, now, &mut self.rng);
         if extent == ReadExtent::FirstPage && registrations.has_more {
             if !self.has_registry() {
+                self.has_first_page = true;
                 self.read_schedule.record_first_page(now);
                 self.ask_acquaintances(&registrations.entries).await;
             }
--- a/crates/mustardtiller/src/controllers/registry/reads.rs
+++ b/crates/mustardtiller/src/controllers/registry/reads.rs
@@ -40,10 +40,9 @@
     /// Return how much to read.
     ///
     /// In a large fleet, a few daemons read everything at a start; the others learn
-    /// from the first page whom to ask.
+    /// from the first page whom to ask. That page may name nobody.
     pub(super) fn read_extent(&self) -> ReadExtent {
-        let acquainted = !self.acquaintances.is_empty();
-        if self.has_registry() || acquainted || self.read_schedule.is_starter() {
+        if self.has_registry() || self.has_first_page || self.read_schedule.is_starter() {
             ReadExtent::All
         } else {
             ReadExtent::FirstPage
@@ -151,9 +150,8 @@
         }
         by_turn.sort_by_key(|(turn, _)| *turn);
         let links = by_turn.into_iter().map(|(_, link)| link);
-        self.acquaintances = links.filter(|link| *link != own).collect();
-        for link in self.acquaintances.iter().take(MAX_ASKED) {
-            self.gossip.request_registry(*link).await;
+        for link in links.filter(|link| *link != own).take(MAX_ASKED) {
+            self.gossip.request_registry(link).await;
         }
     }
 }
