fix(store): a page that does not go beyond its key ends the read

A store that gives the same page again was asked for it until the pages had 16 MB, against its limit on reads, and the line that told of it named no key. A first page without items after which there are more was taken for a complete list of nothing.

The read is given up as a whole: entries missing from a part of the list would count as departures.

--- a/crates/mustardtiller/src/published/source.rs
+++ b/crates/mustardtiller/src/published/source.rs
@@ -41,6 +41,12 @@
     /// The platform came back from a copy during a read of several calls.
     #[snafu(display("the platform came back from a copy meanwhile"))]
     Returned,
+    /// A page of a read of several calls does not go beyond the one before.
+    #[snafu(display("the page after the key {key:?} does not go beyond it"))]
+    Stalled {
+        /// The key after which the page begins; empty for the first page.
+        key: String,
+    },
     /// A value exceeds the size limit.
     #[snafu(display("value exceeds {limit} bytes"))]
     TooLarge {
