fix(hosts): a malformed line of the host list costs itself alone

An upstream that the host list announced as leaving went on getting requests while any other line of the list was malformed: one line refused the whole list, in every daemon.

`a_text_without_a_host_changes_nothing` passed before.

A text without any valid line is still refused.

--- a/crates/mustardtiller/src/controllers/hosts.rs
+++ b/crates/mustardtiller/src/controllers/hosts.rs
@@ -34,7 +34,14 @@
         .await
         .map_err(|e| Event::HostsFailed.log(e))?;
     let text = String::from_utf8_lossy(&bytes);
-    parse_hosts(&text).map_err(|line| Event::HostsMalformed.log(line))
+    let parsed = parse_hosts(&text).map_err(|line| Event::HostsMalformed.log(line))?;
+    if let Some(line) = parsed.malformed.first() {
+        Event::HostsMalformed.log(format_args!(
+            "{line} (one of {} lines that are ignored)",
+            parsed.malformed.len()
+        ));
+    }
+    Ok(parsed.list)
 }
 
 fn update_hosts(node: &Node, list: HostList) {
--- a/crates/mustardtiller/src/lib.rs
+++ b/crates/mustardtiller/src/lib.rs
@@ -81,6 +81,7 @@
 pub use mustardtiller_core as core;
 pub use mustardtiller_wire as wire;
 pub use published::HttpPublishedSource;
+pub use published::ParsedHosts;
 pub use published::PublishedError;
 pub use published::PublishedSource;
 pub use published::PublishedValue;
--- a/crates/mustardtiller/src/published/hosts.rs
+++ b/crates/mustardtiller/src/published/hosts.rs
@@ -4,28 +4,46 @@
 use mustardtiller_core::Member;
 use mustardtiller_core::MemberState;
 
+/// A host list, and the lines of its text that name no host.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ParsedHosts {
+    /// The hosts of the valid lines.
+    pub list: HostList,
+    /// The malformed lines, each cut to 100 characters.
+    pub malformed: Vec<String>,
+}
+
 /// Parse a host list: one `NAME PLACE ADDRESS live|leaving` per line.
 ///
+/// A malformed line names no host; the others hold.
+///
 /// # Errors
 ///
-/// Returns the first malformed line, cut to 100 characters. One malformed line
-/// rejects the whole list.
+/// Returns the first malformed line, cut to 100 characters, if no line is valid.
 ///
 /// # Examples
 ///
 /// ```
 /// use mustardtiller::parse_hosts;
 ///
-/// let list = parse_hosts("katalog-1 jadran-a 127.0.0.1:9001 live\n").unwrap();
-/// assert_eq!(list.members.len(), 1);
+/// let text = "katalog-1 jadran-a 127.0.0.1:9001 live\nkatalog-2 jadran-a\n";
+/// let parsed = parse_hosts(text).unwrap();
+/// assert_eq!(parsed.list.members.len(), 1);
+/// assert_eq!(parsed.malformed, ["katalog-2 jadran-a"]);
 /// ```
-pub fn parse_hosts(text: &str) -> Result<HostList, String> {
+pub fn parse_hosts(text: &str) -> Result<ParsedHosts, String> {
     let lines = text.lines().map(str::trim);
-    let members = lines
-        .filter(|line| !line.is_empty() && !line.starts_with('#'))
-        .map(|line| parse_line(line).ok_or_else(|| line.chars().take(100).collect()))
-        .collect::<Result<Vec<Member>, String>>()?;
-    Ok(HostList { members })
+    let mut parsed = ParsedHosts::default();
+    for line in lines.filter(|line| !line.is_empty() && !line.starts_with('#')) {
+        match parse_line(line) {
+            Some(member) => parsed.list.members.push(member),
+            None => parsed.malformed.push(line.chars().take(100).collect()),
+        }
+    }
+    if parsed.list.members.is_empty() && !parsed.malformed.is_empty() {
+        return Err(parsed.malformed.swap_remove(0));
+    }
+    Ok(parsed)
 }
 
 fn parse_line(line: &str) -> Option<Member> {
--- a/crates/mustardtiller/src/published/mod.rs
+++ b/crates/mustardtiller/src/published/mod.rs
@@ -4,6 +4,7 @@
 mod http;
 mod source;
 
+pub use hosts::ParsedHosts;
 pub use hosts::parse_hosts;
 pub use http::HttpPublishedSource;
 pub use source::PublishedError;
