fix(admit): any number of slots that an upstream reports can be counted

A load header with more than 53 million slots made the daemon's limiter overflow: a panic in builds with overflow checks, a number that has wrapped in others. It concerned the upstream's own daemon alone.

--- a/crates/mustardtiller-core/src/admit/knee.rs
+++ b/crates/mustardtiller-core/src/admit/knee.rs
@@ -96,7 +96,8 @@
     /// Return the number of running requests up to which the low band reaches.
     #[must_use]
     pub fn low_band_slots(slots: u32) -> u32 {
-        (slots * BAND_PERCENT / 100).max(1)
+        let band = u64::from(slots) * u64::from(BAND_PERCENT) / 100;
+        (band as u32).max(1)
     }
 
     /// Add the answers of one window, and return how many slots to fill.
@@ -130,13 +131,14 @@
         }
         let low_mean = u128::from(low.sum_milli) * u128::from(high.count);
         let high_mean = u128::from(high.sum_milli) * u128::from(low.count);
-        let low_band = Self::low_band_slots(self.slots);
+        let slots = u128::from(self.slots);
+        let low_band = u128::from(Self::low_band_slots(self.slots));
         let reliable = low.count >= RELIABLE_SAMPLES && high.count >= RELIABLE_SAMPLES;
         let threshold = if reliable {
-            self.slots + low_band
+            slots + low_band
         } else {
-            self.slots * 2
+            slots * 2
         };
-        high_mean * u128::from(low_band * 2) > low_mean * u128::from(threshold)
+        high_mean * low_band * 2 > low_mean * threshold
     }
 }
