test(soak): entries of other parties, small pages and restarts of all

Each run writes entries that can't be read, whose names have a character with a meaning in a query or none in a target, among registrations and evacuations, and they stay until it ends. The store's pages have one to three items. Unless only planned faults are drawn, all daemons are restarted as often as such entries are written.

--- a/crates/mustardtiller-soak/src/fleet.rs
+++ b/crates/mustardtiller-soak/src/fleet.rs
@@ -19,6 +19,7 @@
 use mustardtiller_standin::Runner;
 
 use crate::FaultKind;
+use crate::Plan;
 use crate::Way;
 use crate::address::AddressBlock;
 use crate::daemons::Daemons;
@@ -92,14 +93,18 @@
     spare: u64,
     /// The copy of the store that was made last.
     copy: Option<StoreCopy>,
+    /// Names of entries that other parties have written.
+    odd_names: Vec<String>,
 }
 
 impl Fleet {
     /// Start the store, the upstreams and the daemons.
     #[must_use]
-    pub fn start(runner: &Runner, program: &Path, folder: &Path, hosts: usize) -> Self {
+    pub fn start(runner: &Runner, program: &Path, folder: &Path, plan: &Plan) -> Self {
+        let hosts = plan.scale.hosts;
         let block = AddressBlock::reserve();
         let store = Store::start(runner, block.store());
+        store.set_page_items(plan.page_items);
         let recorded = Arc::new(Mutex::new(Vec::new()));
         let relay = Relay::start(runner, &block, hosts, LINK_PORT);
         let mut fleet = Self {
@@ -113,6 +118,7 @@
             routes: Vec::new(),
             spare: SPARE_RETRIES,
             copy: None,
+            odd_names: Vec::new(),
             block,
         };
         fleet.store.publish(&document(fleet.version, &[]));
@@ -218,6 +224,7 @@
             FaultKind::UpstreamSlow => slow_down(&target.upstream, SLOW_FACTOR),
             FaultKind::NewVersion => self.publish_new_version(),
             FaultKind::StoreReturns => self.copy = Some(self.store.copy()),
+            FaultKind::OddEntries(character) => self.write_odd_entries(host, character),
         }
         None
     }
@@ -236,7 +243,8 @@
             | FaultKind::UpstreamDrains
             | FaultKind::UpstreamVanishes
             | FaultKind::UpstreamSilent
-            | FaultKind::NewVersion => {}
+            | FaultKind::NewVersion
+            | FaultKind::OddEntries(_) => {}
             FaultKind::DaemonPauses => self.daemons.signal(host, Signal::CONT),
             FaultKind::LinksHeld(way) => set_frozen(&target.to_link, way, false),
             FaultKind::LinksSlow => target.to_link.set_delay_micros(0),
@@ -281,7 +289,7 @@
             .map(|host| name_of(host, self.hosts[host].incarnation))
             .collect();
         for name in self.store.registered() {
-            if !names.contains(&name) {
+            if !names.contains(&name) && !self.odd_names.contains(&name) {
                 self.store.unregister(&name);
             }
         }
@@ -315,6 +323,16 @@
         self.register(host);
     }
 
+    /// Write what can't be read beside a host's registration, before all and among evacuations.
+    fn write_odd_entries(&mut self, host: usize, character: char) {
+        for name in [format!("i-{host}{character}x"), character.to_string()] {
+            self.store.write_damaged_registration(&name);
+            self.odd_names.push(name);
+        }
+        self.store
+            .write_damaged_evacuation(&format!("q{character}x"));
+    }
+
     fn publish_new_version(&mut self) {
         self.version += 3;
         let prefix = format!("/more-{}/", self.version);
--- a/crates/mustardtiller-soak/src/plan.rs
+++ b/crates/mustardtiller-soak/src/plan.rs
@@ -109,6 +109,10 @@
     /// The store is away for a moment when the fault ends, and comes back from a copy that
     /// was made when it started; what is lost is written again later.
     StoreReturns,
+    /// Another party writes entries that can't be read, whose names have this character.
+    ///
+    /// They stay until the run ends.
+    OddEntries(char),
 }
 
 /// Work planned by operators, which must not break any request.
@@ -152,8 +156,8 @@
 
 /// Faults of bytes that are no answer or no message.
 ///
-/// They and returns of the store are drawn apart from the others, so that the plans of earlier seeds keep all
-/// their faults.
+/// They, returns of the store and odd entries are drawn apart from the others, so that the
+/// plans of earlier seeds keep all their faults.
 const FOREIGN: &[FaultKind] = &[
     FaultKind::UpstreamEndless,
     FaultKind::UpstreamRepeats,
@@ -161,6 +165,33 @@
     FaultKind::DatagramsSpoiled,
 ];
 
+/// Entries of other parties, with characters that have a meaning in a query or can't stand there.
+const ODD_ENTRIES: &[FaultKind] = &[
+    FaultKind::OddEntries('&'),
+    FaultKind::OddEntries('+'),
+    FaultKind::OddEntries('#'),
+    FaultKind::OddEntries('%'),
+    FaultKind::OddEntries(' '),
+    FaultKind::OddEntries('"'),
+    FaultKind::OddEntries('\n'),
+    FaultKind::OddEntries('\0'),
+    FaultKind::OddEntries('\u{17e}'),
+];
+
+/// Time for which one write of odd entries is drawn, in milliseconds; at least one is.
+///
+/// As many restarts of all daemons are drawn, unless only planned work is.
+const ODD_ENTRIES_EVERY_MS: u64 = 6_000;
+
+/// Difference between the seed of a plan and that of its odd entries.
+const ODD_ENTRIES_SEED: u64 = 0x0DD5;
+
+/// Difference between the seed of a plan and that of its page size.
+const PAGE_SEED: u64 = 0x9A6E;
+
+/// Most items of the store's pages.
+const MAX_PAGE_ITEMS: usize = 3;
+
 /// Time for which one return of the store is drawn, in milliseconds; at least one is.
 const RETURN_EVERY_MS: u64 = 6_000;
 
@@ -190,8 +221,8 @@
     /// Report whether the kind is work planned by operators.
     #[must_use]
     pub fn is_planned(self) -> bool {
-        // Operators bring the store back from a copy in a drill.
-        PLANNED.contains(&self) || self == Self::StoreReturns
+        // Operators bring the store back from a copy in a drill, and odd entries fail nothing.
+        PLANNED.contains(&self) || matches!(self, Self::StoreReturns | Self::OddEntries(_))
     }
 }
 
@@ -218,6 +249,8 @@
     pub faults: Vec<Fault>,
     /// Whether all faults are work planned by operators.
     pub planned_only: bool,
+    /// Most items of the store's pages.
+    pub page_items: usize,
 }
 
 impl Plan {
@@ -259,12 +292,22 @@
             until,
             scale.hosts,
         ));
+        let count = (until / ODD_ENTRIES_EVERY_MS).max(1);
+        let mut odd_kinds = vec![ODD_ENTRIES];
+        if !planned_only {
+            odd_kinds.push(&[FaultKind::AllDie]);
+        }
+        for (number, kinds) in odd_kinds.into_iter().enumerate() {
+            let seed = (seed ^ ODD_ENTRIES_SEED).wrapping_add(number as u64);
+            faults.extend(Self::draw_apart(kinds, count, seed, until, scale.hosts));
+        }
         faults.sort_by_key(|fault| fault.at_ms);
         Self {
             seed,
             scale,
             faults,
             planned_only,
+            page_items: fastrand::Rng::with_seed(seed ^ PAGE_SEED).usize(1..=MAX_PAGE_ITEMS),
         }
     }
 
--- a/crates/mustardtiller-soak/src/run_plan.rs
+++ b/crates/mustardtiller-soak/src/run_plan.rs
@@ -90,7 +90,7 @@
 #[must_use]
 pub fn run_plan(plan: &Plan, program: &Path, folder: &Path) -> History {
     let runner = Runner::start(THREADS);
-    let mut fleet = Fleet::start(&runner, program, folder, plan.scale.hosts);
+    let mut fleet = Fleet::start(&runner, program, folder, plan);
     let state = Arc::new(SharedState {
         started: Instant::now(),
         calls: Mutex::new(Vec::new()),
--- a/crates/mustardtiller-soak/tests/plan_draws.rs
+++ b/crates/mustardtiller-soak/tests/plan_draws.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::mem::discriminant;
 
+use mustardtiller_soak::FaultKind;
 use mustardtiller_soak::Plan;
 use mustardtiller_soak::Scale;
 
@@ -37,7 +38,7 @@
         .flat_map(|plan| plan.faults)
         .map(|fault| discriminant(&fault.kind))
         .collect();
-    assert_eq!(kinds.len(), 32);
+    assert_eq!(kinds.len(), 33);
 }
 
 #[test]
@@ -46,3 +47,13 @@
     assert!(plan.planned_only);
     assert!(plan.faults.iter().all(|fault| fault.kind.is_planned()));
 }
+
+#[test]
+fn odd_entries_and_small_pages_are_in_every_plan() {
+    for seed in 0..50 {
+        let plan = Plan::draw(seed, SCALE);
+        let mut kinds = plan.faults.iter().map(|fault| fault.kind);
+        assert!(kinds.any(|kind| matches!(kind, FaultKind::OddEntries(_))));
+        assert!((1..=3).contains(&plan.page_items));
+    }
+}
