--- a/crates/mustardtiller-soak/src/plan.rs
+++ b/crates/mustardtiller-soak/src/plan.rs
@@ -165,7 +165,7 @@
     FaultKind::DatagramsSpoiled,
 ];
 
-/// Entries of other parties, with characters that have a meaning in a query or can't stand there.
+/// Odd entries, by a character that a query must encode.
 const ODD_ENTRIES: &[FaultKind] = &[
     FaultKind::OddEntries('&'),
     FaultKind::OddEntries('+'),
--- a/crates/mustardtiller/src/controllers/registry/mod.rs
+++ b/crates/mustardtiller/src/controllers/registry/mod.rs
@@ -89,7 +89,7 @@
     hedge_at: Option<Deadline>,
     /// When another fetch from a peer may begin.
     next_fetch: Deadline,
-    /// Whether the first page was read alone, so that the next read is of all pages.
+    /// Whether a first page was read alone; the next read is complete.
     has_first_page: bool,
     next_request: Deadline,
     /// When a neighbour may be asked again.
