--- a/review/standin2.py
+++ b/review/standin2.py
@@ -315,7 +315,7 @@
 class Daemon:
     """One daemon process, beside a backend."""
 
-    def __init__(self, net, index, service, bounds=None, memory_mb=260):
+    def __init__(self, net, index, service, bounds=None, memory_mb=260, cores=1):
         self.net, self.index, self.service = net, index, service
         self.ip = net.ips[index]
         self.path = os.path.join(net.folder, f"daemon-{index}.ini")
@@ -326,7 +326,7 @@
             "service": service, "ip": self.ip, "app_addr": f"{self.ip}:{net.ports[4]}",
             "listen": {"outbound": f"{self.ip}:{outbound}", "inbound": f"{self.ip}:{inbound}",
                        "ready_addr": f"{self.ip}:{ready}"},
-            "limits": {"cores": 1, "memory_mb": memory_mb},
+            "limits": {"cores": cores, "memory_mb": memory_mb},
             "platform": {"address": net.store.address},
             "zones": {z: "region-1" for z in net.zones},
             "bounds": dict(BOUNDS, **(bounds or {})),
